--- /dev/null
+++ b/packages/common/src/clock.ts
@@ -0,0 +1,34 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import type { Clock } from './types.js';
+
+/** Clock of the operating system. */
+export class SystemClock implements Clock {
+  private constructor(private readonly originMs: number) {}
+
+  /** Creates the system clock. */
+  static create(): SystemClock {
+    return new SystemClock(performance.timeOrigin);
+  }
+
+  /** Milliseconds since the process started. */
+  // eslint-disable-next-line class-methods-use-this -- part of the Clock interface
+  monotonicMs(): number {
+    return performance.now();
+  }
+
+  /** Milliseconds since the Unix epoch. */
+  wallMs(): number {
+    return Math.max(Date.now(), this.originMs);
+  }
+}
+
+/** Waits for a duration in milliseconds; returns false when the signal ended the wait early. */
+export const sleep = async (durationMs: number, signal?: AbortSignal): Promise<boolean> => {
+  try {
+    await delay(durationMs, undefined, signal ? { signal } : undefined);
+    return true;
+  } catch {
+    return false;
+  }
+};
--- /dev/null
+++ b/packages/common/src/utils.ts
@@ -0,0 +1,37 @@
+import type { Clock, Endpoint, Incarnation, MemberId, RandomSource } from './types.js';
+
+const INCARNATION_RANDOM_LENGTH = 5;
+const BASE_36 = 36;
+
+/** Creates an incarnation from the start time and a random part. */
+export const createIncarnation = (clock: Clock, random: RandomSource): Incarnation => {
+  const startedAt = Math.trunc(clock.wallMs()).toString(BASE_36);
+  const suffix = Math.floor(random.next() * BASE_36 ** INCARNATION_RANDOM_LENGTH)
+    .toString(BASE_36)
+    .padStart(INCARNATION_RANDOM_LENGTH, '0');
+  return `${startedAt}${suffix}`;
+};
+
+/** Text form of a member, for example `vm1@lq3x9k`. */
+export const formatMember = (member: MemberId): string => `${member.vmId}@${member.incarnation}`;
+
+/** Whether two values name the same start of the same entry daemon. */
+export const isSameMember = (left: MemberId, right: MemberId): boolean =>
+  left.vmId === right.vmId && left.incarnation === right.incarnation;
+
+/** Text form of an endpoint, `host:port`. */
+export const formatEndpoint = (endpoint: Endpoint): string => `${endpoint.host}:${endpoint.port}`;
+
+/** Parses `host:port`; returns undefined when the text is not an endpoint. */
+export const parseEndpoint = (text: string): Endpoint | undefined => {
+  const separator = text.lastIndexOf(':');
+  const host = text.slice(0, separator);
+  const port = Number(text.slice(separator + 1));
+  if (separator <= 0 || !Number.isInteger(port) || port < 0 || port > 65_535) return undefined;
+  return { host, port };
+};
+
+/** Fails to compile when a switch over a union misses a case. */
+export const assertNever = (value: never): never => {
+  throw new Error(`unhandled case ${JSON.stringify(value)}`);
+};
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,1 @@
+export * from './gen/peer_pb.js';
