--- /dev/null
+++ b/packages/controlLog/src/types.ts
@@ -0,0 +1,114 @@
+import type { Endpoint, FailureDomainId, Incarnation, StepError, VmId } from '@bronzelift/common';
+import type { Configuration } from '@bronzelift/configuration';
+
+/** Something operators take out of service: `domain:<id>` or `vm:<id>`. */
+export type Target = `domain:${string}` | `vm:${string}`;
+
+/** One entry daemon in the roster. */
+export interface RosterMember {
+  readonly vmId: VmId;
+  readonly incarnation: Incarnation;
+  readonly failureDomainId: FailureDomainId;
+  readonly callerEndpoint: Endpoint;
+  readonly peerEndpoint: Endpoint;
+}
+
+/** The fold over the log up to, but not including, `nextOffset`. */
+export interface ControlState {
+  /** Number of accepted configurations; 0 before the first. */
+  readonly configurationVersion: number;
+  /** Id of the apply that was accepted last. */
+  readonly applyId: string;
+  readonly configurationText: string;
+  readonly configuration: Configuration;
+  /** Number of changes of `takenOut`. */
+  readonly drainRevision: number;
+  /** Sorted. */
+  readonly takenOut: readonly Target[];
+  /** Number of changes of `members`. */
+  readonly epoch: number;
+  /** Sorted by vmId; one incarnation for each VM. */
+  readonly members: readonly RosterMember[];
+  readonly nextOffset: number;
+  /** The log the offset belongs to; empty when the state is bound to no log. */
+  readonly logId: string;
+}
+
+/** Form of a state in a snapshot record and between peers; the text is parsed again on arrival. */
+export type StoredState = Omit<ControlState, 'configuration'>;
+
+/** Why a member was evicted. */
+export const EVICTION_REASONS = ['silent', 'process-gone', 'vm-gone'] as const;
+export type EvictionReason = (typeof EVICTION_REASONS)[number];
+
+/** Records on the log. */
+export type LogRecord =
+  | {
+      readonly kind: 'configuration-applied';
+      readonly applyId: string;
+      readonly basedOnVersion: number;
+      readonly text: string;
+    }
+  | { readonly kind: 'target-taken-out'; readonly target: Target }
+  | { readonly kind: 'target-brought-back'; readonly target: Target }
+  | ({ readonly kind: 'member-joined' } & RosterMember)
+  | { readonly kind: 'member-left'; readonly vmId: VmId; readonly incarnation: Incarnation }
+  | {
+      readonly kind: 'member-evicted';
+      readonly vmId: VmId;
+      readonly incarnation: Incarnation;
+      readonly reason: EvictionReason;
+    }
+  | {
+      readonly kind: 'state-snapshot';
+      readonly asOfOffset: number;
+      readonly state: StoredState;
+    };
+
+/** What a record did; `state` is the state after it. */
+export type FoldResult =
+  /** The record changed the state. */
+  | { readonly kind: 'applied'; readonly state: ControlState }
+  /** The apply was accepted and got this version. */
+  | { readonly kind: 'accepted'; readonly state: ControlState; readonly version: number }
+  /** The text of the apply is invalid. */
+  | { readonly kind: 'rejected'; readonly state: ControlState; readonly reason: string }
+  /** The apply was based on another version than the one in force. */
+  | { readonly kind: 'lost-race'; readonly state: ControlState; readonly version: number }
+  /** The record is well formed and changes nothing. */
+  | { readonly kind: 'ignored'; readonly state: ControlState; readonly reason: string }
+  /** The record is not one of ours. */
+  | { readonly kind: 'malformed'; readonly state: ControlState; readonly reason: string };
+
+/** One record as the log service returns it. */
+export interface StoredRecord {
+  readonly offset: number;
+  readonly appendedAtMs: number;
+  /** JSON text, or any other value when another program wrote it. */
+  readonly payload: unknown;
+}
+
+/** Response to a read. */
+export interface LogPage {
+  readonly logId: string;
+  /** Offset of the first record still kept. */
+  readonly firstOffset: number;
+  /** Offset that the next appended record will get. */
+  readonly endOffset: number;
+  readonly records: readonly StoredRecord[];
+  /** Size of the response body. */
+  readonly sizeBytes: number;
+}
+
+/** An append that did not return an offset. */
+export interface AppendFailure {
+  /** `refused`: the record is not on the log; `unknown`: it may be, now or later. */
+  readonly kind: 'refused' | 'unknown';
+  readonly error: StepError;
+}
+
+/** Name of an invariant whose runtime assertion is in this package. */
+export type ViolationName = 'configuration-order';
+
+/** Called when an assertion fires. */
+export type ViolationHandler = (name: ViolationName, detail: string) => void;
