Read INI settings and report all mistakes with their lines

Cause: the ini library merges repeated sections, nests names with dots, skips __proto__ and cuts values at comment signs without a word, and gives no lines. Change: a scanner accepts only lines with one meaning and has the library decode their values; zod checks the sections. ts-results is loaded with require, because its default import is undefined when mocha loads tests and named imports fail in ESM.

--- /dev/null
+++ b/packages/settings/src/settings.ts
@@ -0,0 +1,203 @@
+import { readFileSync } from 'node:fs';
+
+import type { Result } from 'ts-results';
+import { z } from 'zod';
+
+import { describeError } from '@bronzelift/common';
+
+import { ENTRY_VM_ID_PATTERN, SETTINGS_DEFAULTS } from './constants.js';
+import { readIniDocument } from './iniDocument.js';
+import { Err, Ok } from './results.js';
+import {
+  checkSection,
+  createProblemAt,
+  endpoint,
+  identifier,
+  oneOf,
+  wholeNumber,
+} from './schemaCheck.js';
+import { LOG_LEVELS } from './types.js';
+import type { EntrySettings, IniDocument, IniSection, SettingsProblem } from './types.js';
+import { finishProblems, parseNumericEndpoint } from './utils.js';
+
+const MILLISECONDS = 'milliseconds';
+const MAX_PORT = 65_535;
+const HOUR_MS = 3_600_000;
+const YEAR_MS = 365 * 24 * HOUR_MS;
+
+const hostSchema = () => {
+  const expected = 'a numeric address such as 127.0.0.1';
+  return z
+    .string({ error: expected })
+    .refine((text) => parseNumericEndpoint(`${text}:1`) !== undefined, expected);
+};
+
+const listenSchema = z.strictObject({
+  host: hostSchema(),
+  port: wholeNumber(0, MAX_PORT, 'the TCP port (0 picks a free one)'),
+});
+
+const { log, vmList, lease, callers, orders, logging } = SETTINGS_DEFAULTS;
+
+const SECTION_SCHEMAS = {
+  entry: z
+    .strictObject({
+      vm_id: identifier('a VM id', ENTRY_VM_ID_PATTERN),
+      failure_domain: identifier('a failure domain'),
+    })
+    .transform((keys) => ({ vmId: keys.vm_id, failureDomainId: keys.failure_domain })),
+  caller: listenSchema,
+  peer: listenSchema,
+  admin: listenSchema,
+  log: z
+    .strictObject({
+      address: endpoint(),
+      read_wait_ms: wholeNumber(0, 60_000, MILLISECONDS).default(log.readWaitMs),
+      retention_ms: wholeNumber(10_000, YEAR_MS, MILLISECONDS).default(log.retentionMs),
+    })
+    .transform((keys) => ({
+      address: keys.address,
+      readWaitMs: keys.read_wait_ms,
+      retentionMs: keys.retention_ms,
+    })),
+  vm_list: z
+    .strictObject({
+      address: endpoint(),
+      poll_interval_ms: wholeNumber(10, HOUR_MS, MILLISECONDS).default(vmList.pollIntervalMs),
+    })
+    .transform((keys) => ({ address: keys.address, pollIntervalMs: keys.poll_interval_ms })),
+  lease: z
+    .strictObject({
+      lease_ms: wholeNumber(100, 60_000, MILLISECONDS).default(lease.leaseMs),
+      heartbeat_ms: wholeNumber(10, 60_000, MILLISECONDS).default(lease.heartbeatMs),
+      margin_ms: wholeNumber(0, 60_000, MILLISECONDS).default(lease.marginMs),
+      freshness_ms: wholeNumber(100, 60_000, MILLISECONDS).default(lease.freshnessMs),
+    })
+    .transform((keys) => ({
+      leaseMs: keys.lease_ms,
+      heartbeatMs: keys.heartbeat_ms,
+      marginMs: keys.margin_ms,
+      freshnessMs: keys.freshness_ms,
+    })),
+  callers: z
+    .strictObject({
+      keep_for_ms: wholeNumber(100, HOUR_MS, MILLISECONDS).default(callers.keepForMs),
+      ticket_valid_ms: wholeNumber(1000, HOUR_MS, MILLISECONDS).default(callers.ticketValidMs),
+    })
+    .transform((keys) => ({ keepForMs: keys.keep_for_ms, ticketValidMs: keys.ticket_valid_ms })),
+  orders: z
+    .strictObject({
+      retention_ms: wholeNumber(1000, 24 * HOUR_MS, MILLISECONDS).default(orders.retentionMs),
+    })
+    .transform((keys) => ({ retentionMs: keys.retention_ms })),
+  logging: z
+    .strictObject({ level: oneOf(LOG_LEVELS).default(logging.level) })
+    .transform((keys) => ({ level: keys.level })),
+};
+
+type SectionName = keyof typeof SECTION_SCHEMAS;
+type SectionValues = { [Name in SectionName]?: z.output<(typeof SECTION_SCHEMAS)[Name]> };
+
+const SECTION_NAMES = Object.keys(SECTION_SCHEMAS) as SectionName[];
+const REQUIRED_SECTIONS: ReadonlySet<string> = new Set([
+  'entry',
+  'caller',
+  'peer',
+  'admin',
+  'log',
+  'vm_list',
+]);
+
+const readSection = (
+  document: IniDocument,
+  name: SectionName,
+  values: Record<string, unknown>,
+): readonly SettingsProblem[] => {
+  const present = document.sections.find((section) => section.name === name);
+  if (present === undefined && REQUIRED_SECTIONS.has(name)) {
+    return [createProblemAt(document, name, undefined, 'this section in the file')];
+  }
+  const section: IniSection = present ?? { name, line: 0, entries: [] };
+  const check = checkSection(document, section, SECTION_SCHEMAS[name]);
+  if (!check.ok) return check.problems;
+  Object.assign(values, { [name]: check.value });
+  return [];
+};
+
+const findUnknownSections = (document: IniDocument): SettingsProblem[] =>
+  document.sections
+    .filter((section) => !(SECTION_NAMES as string[]).includes(section.name))
+    .map((section) =>
+      createProblemAt(
+        document,
+        section.name,
+        undefined,
+        `one of the sections ${SECTION_NAMES.join(', ')}`,
+      ),
+    );
+
+/** Rules between keys; the heartbeat must renew the lease several times before it ends. */
+const checkRelations = (document: IniDocument, values: SectionValues): SettingsProblem[] => {
+  const problems: SettingsProblem[] = [];
+  if (values.lease && values.lease.heartbeatMs * 2 > values.lease.leaseMs) {
+    const expected = `at most half of lease_ms (${values.lease.leaseMs})`;
+    problems.push(createProblemAt(document, 'lease', 'heartbeat_ms', expected));
+  }
+  if (values.log && values.lease && values.log.readWaitMs >= values.lease.freshnessMs) {
+    const expected = `less than freshness_ms of [lease] (${values.lease.freshnessMs})`;
+    problems.push(createProblemAt(document, 'log', 'read_wait_ms', expected));
+  }
+  if (
+    values.orders &&
+    values.callers &&
+    values.orders.retentionMs <= values.callers.ticketValidMs
+  ) {
+    const expected = `more than ticket_valid_ms of [callers] (${values.callers.ticketValidMs})`;
+    problems.push(createProblemAt(document, 'orders', 'retention_ms', expected));
+  }
+  const listening = (['caller', 'peer', 'admin'] as const).filter((name) => values[name]);
+  listening.forEach((name, index) => {
+    const same = listening
+      .slice(0, index)
+      .find(
+        (other) =>
+          values[name]!.port !== 0 &&
+          values[name]!.port === values[other]!.port &&
+          values[name]!.host === values[other]!.host,
+      );
+    if (same === undefined) return;
+    problems.push(createProblemAt(document, name, 'port', `another port than [${same}]`));
+  });
+  return problems;
+};
+
+/** Checks the text of a settings file; all mistakes are returned together. */
+export const parseSettings = (
+  text: string,
+  file: string,
+): Result<EntrySettings, SettingsProblem[]> => {
+  const document = readIniDocument(text, file);
+  const values: SectionValues = {};
+  const problems = [
+    ...document.problems,
+    ...findUnknownSections(document),
+    ...SECTION_NAMES.flatMap((name) => readSection(document, name, values)),
+    ...checkRelations(document, values),
+  ];
+  if (problems.length > 0) return Err(finishProblems(problems));
+  const { vm_list: vmListValues, ...others } = values as Required<SectionValues>;
+  return Ok({ ...others, vmList: vmListValues });
+};
+
+/** Reads and checks the settings of the entry daemon; an unreadable file is one mistake. */
+export const loadSettings = (path: string): Result<EntrySettings, SettingsProblem[]> => {
+  let text: string;
+  try {
+    // eslint-disable-next-line n/no-sync -- read once, before the process does anything else
+    text = readFileSync(path, 'utf8');
+  } catch (error) {
+    const expected = `a readable file (${describeError(error)})`;
+    return Err([{ file: path, line: 0, key: 'file', expected }]);
+  }
+  return parseSettings(text, path);
+};
--- /dev/null
+++ b/packages/settings/tests/settings.test.ts
@@ -0,0 +1,139 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { formatProblem, loadSettings, parseSettings, readIniDocument } from '../src/index.js';
+
+const SEED = process.env.SEED === undefined ? {} : { seed: Number(process.env.SEED) };
+
+const VALID = `
+[entry]
+vm_id = entry-1
+failure_domain = nyeri
+[caller]
+host = 127.0.0.1
+port = 8000
+[peer]
+host = 127.0.0.1
+port = 8001
+[admin]
+host = 127.0.0.1
+port = 8002
+[log]
+address = 127.0.0.1:4100
+[vm_list]
+address = 127.0.0.1:4200 ; the development stand-in
+`;
+
+const describeProblems = (text: string): string[] => {
+  const parsed = parseSettings(text, 'entryd.ini');
+  return parsed.ok ? [] : parsed.val.map(formatProblem);
+};
+
+describe('parseSettings', () => {
+  it('fills in the defaults of the design page, so that a short file runs as documented', () => {
+    const settings = parseSettings(VALID, 'entryd.ini').unwrap();
+    expect(settings.entry).to.deep.equal({ vmId: 'entry-1', failureDomainId: 'nyeri' });
+    expect(settings.lease).to.deep.equal({
+      leaseMs: 3000,
+      heartbeatMs: 500,
+      marginMs: 500,
+      freshnessMs: 3000,
+    });
+    expect(settings.vmList.address).to.deep.equal({ host: '127.0.0.1', port: 4200 });
+    expect(settings.callers).to.deep.equal({ keepForMs: 5000, ticketValidMs: 60_000 });
+    expect(settings.orders.retentionMs).to.equal(900_000);
+    expect(settings.logging.level).to.equal('info');
+  });
+
+  it('reports all mistakes together with line and key, so that one start shows them all', () => {
+    const text = VALID.replace('port = 8001', 'port = 80x')
+      .replace('address = 127.0.0.1:4100', 'address = localhost:4100')
+      .replace('[entry]', '[entry]\ncolour = red')
+      .concat('[lease]\nlease_ms = 2000\nlease_ms = 2100\n[cache]\nsize = 1\n');
+    expect(describeProblems(text)).to.deep.equal([
+      'entryd.ini:3: [entry] colour: expected a known key',
+      'entryd.ini:11: [peer] port: expected a whole number of the TCP port (0 picks a free one) ' +
+        'from 0 to 65535, found "80x"',
+      'entryd.ini:16: [log] address: expected a numeric address and port such as ' +
+        '127.0.0.1:4100, found "localhost:4100"',
+      'entryd.ini:21: [lease] lease_ms: expected a key once; it is already on line 20',
+      'entryd.ini:22: [cache]: expected one of the sections entry, caller, peer, admin, log, ' +
+        'vm_list, lease, callers, orders, logging',
+    ]);
+  });
+
+  it('reports contradictions between keys, so that a lease can not end between heartbeats', () => {
+    const [problem] = describeProblems(`${VALID}[lease]\nheartbeat_ms = 2000\n`);
+    expect(problem).to.equal(
+      'entryd.ini:19: [lease] heartbeat_ms: expected at most half of lease_ms (3000)',
+    );
+  });
+
+  it('names a missing section and an unreadable file, so that neither is a crash', () => {
+    expect(describeProblems(VALID.replace('[log]\naddress = 127.0.0.1:4100\n', ''))).to.deep.equal([
+      'entryd.ini: [log]: expected this section in the file',
+    ]);
+    expect(loadSettings('/nonexistent/entryd.ini').ok).to.equal(false);
+  });
+
+  it('refuses a VM id with a dot, because the ticket is separated by dots', () => {
+    expect(describeProblems(VALID.replace('entry-1', 'entry.1'))).to.have.length(1);
+  });
+});
+
+describe('readIniDocument', () => {
+  const unusual: readonly (readonly [string, string])[] = [
+    ['a repeated section', '[a]\nx = 1\n[a]\ny = 2'],
+    ['a repeated key', '[a]\nx = 1\nx = 2'],
+    ['a list key', '[a]\nx[] = 1'],
+    ['a section with brackets', '[a]b]\nx = 1'],
+    ['an unclosed section', '[a\nx = 1'],
+    ['a section of the prototype', '[__proto__]\nx = 1'],
+    ['a key of the prototype', '[a]\n__proto__ = 1'],
+    ['a key before any section', 'x = 1'],
+    ['a key without a value', '[a]\nx'],
+    ['an empty value', '[a]\nx = ; nothing'],
+    ['a quoted value', '[a]\nx = "1"'],
+    ['a backslash', '[a]\nx = a\\;b'],
+    ['a value cut by a comment sign', '[a]\nx = a#b'],
+    ['a control character', '[a]\nx = 1\u0000'],
+    ['a line separator', '[a]\nx = 1\u2028y = 2'],
+  ];
+  unusual.forEach(([name, text]) => {
+    it(`reports ${name}, which the library reads in a way of its own`, () => {
+      expect(readIniDocument(text, 'f').problems).to.have.length.of.at.least(1);
+    });
+  });
+
+  it('keeps names with dots whole and reads true as text, so that no value changes its meaning', () => {
+    const document = readIniDocument('[instance 10.0.0.1]\r\nx = true\r\ny=null # c', 'f');
+    expect(document.problems).to.deep.equal([]);
+    expect(document.sections[0]!.name).to.equal('instance 10.0.0.1');
+    expect(document.sections[0]!.entries.map((entry) => entry.value)).to.deep.equal([
+      'true',
+      'null',
+    ]);
+  });
+
+  it('never throws, and accepts a value only as it is written on its line', () => {
+    const pieces = fc.constantFrom('[a]\n', 'a', '.', ' ', '=', '\n', ';', '#', '"', '\\', '\r');
+    const text = fc.oneof(
+      fc.string({ unit: 'binary' }),
+      fc.array(pieces).map((parts) => `[b]\na = 1${parts.join('')}`),
+    );
+    fc.assert(
+      fc.property(text, (input) => {
+        const document = readIniDocument(input, 'f');
+        if (document.problems.length > 0) return;
+        const lines = input.split(/\r\n|\n|\r/);
+        document.sections
+          .flatMap((section) => section.entries)
+          .forEach((entry) => {
+            const written = lines[entry.line - 1]!.replace(/^[^=]*=/, '').replace(/\s[;#].*$/, '');
+            expect(entry.value).to.equal(written.trim());
+          });
+      }),
+      { numRuns: 3000, ...SEED },
+    );
+  });
+});
