Add the types of membership and slots, slot assignment and the member lease

Cause: the daemon needs the public types of these packages first. Change: types, constants, assignSlots, SlotRights, ProbeBudget and MemberLease with its epoch history. Ruled out: settling skipped epochs by time alone, since their rosters are unknown; a peer has to report them settled. Conclusion: signatures can be coded against.

--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+export * from './assignSlots.js';
+export * from './constants.js';
+export * from './probeBudget.js';
+export * from './slotRights.js';
+export * from './types.js';
+export * from './utils.js';
