--- a/packages/orders/src/constants.ts
+++ b/packages/orders/src/constants.ts
@@ -66,3 +66,6 @@
   stopping: 'stopping',
   internal: 'internal-error',
 } as const;
+
+/** An attempt may end this much after the deadline of a waiting request before that gives up. */
+export const DEADLINE_GRACE_MS = 20;
--- /dev/null
+++ b/packages/orders/src/reportOutbox.ts
@@ -0,0 +1,82 @@
+import { formatMember } from '@bronzelift/common';
+
+import type { MemberId } from '@bronzelift/common';
+import { MAX_REPORTS_PER_MESSAGE, MAX_WAITING_REPORTS, REPORT_RETRY_MS } from './constants.js';
+
+import type { OrderDependencies } from './orderContext.js';
+import type { CompletionReport, OrderKey, ReportResult } from './types.js';
+
+interface Release {
+  readonly key: OrderKey;
+  readonly attempt: number;
+}
+
+interface Queue {
+  readonly witness: MemberId;
+  completions: CompletionReport[];
+  releases: Release[];
+}
+
+type OutboxDependencies = Pick<OrderDependencies, 'transport' | 'knowledge' | 'sleep'>;
+
+/**
+ * Completions and releases on their way to the witnesses. One task per witness sends them in
+ * batches and repeats them until the witness has them or is gone.
+ */
+export class ReportOutbox {
+  private readonly queues = new Map<string, Queue>();
+
+  private constructor(private readonly dependencies: OutboxDependencies) {}
+
+  /** Creates an empty outbox. */
+  static create(dependencies: OutboxDependencies): ReportOutbox {
+    return new ReportOutbox(dependencies);
+  }
+
+  addCompletion(witness: MemberId, report: CompletionReport): void {
+    this.add(witness, (queue) => queue.completions.push(report));
+  }
+
+  addRelease(witness: MemberId, release: Release): void {
+    this.add(witness, (queue) => queue.releases.push(release));
+  }
+
+  private add(witness: MemberId, push: (queue: Queue) => void): void {
+    const name = formatMember(witness);
+    const queue = this.queues.get(name);
+    if (queue !== undefined) {
+      if (queue.completions.length + queue.releases.length < MAX_WAITING_REPORTS) push(queue);
+      return;
+    }
+    const created: Queue = { witness, completions: [], releases: [] };
+    push(created);
+    this.queues.set(name, created);
+    this.deliver(name, created).catch(() => this.queues.delete(name));
+  }
+
+  private async deliver(name: string, queue: Queue): Promise<void> {
+    while (queue.completions.length + queue.releases.length > 0) {
+      const result = await this.sendSome(queue);
+      if (result === 'wrong-incarnation') break;
+      if (result === 'accepted') continue;
+      if (this.dependencies.knowledge.isGone(queue.witness)) break;
+      await this.dependencies.sleep(REPORT_RETRY_MS);
+    }
+    this.queues.delete(name);
+  }
+
+  private async sendSome(queue: Queue): Promise<ReportResult> {
+    const { transport } = this.dependencies;
+    const batch = queue.completions.slice(0, MAX_REPORTS_PER_MESSAGE);
+    if (batch.length > 0) {
+      const result = await transport.completions(queue.witness, batch);
+      if (result === 'accepted') queue.completions.splice(0, batch.length);
+      return result;
+    }
+    const release = queue.releases[0];
+    if (release === undefined) return 'accepted';
+    const result = await transport.release(queue.witness, release.key, release.attempt);
+    if (result === 'accepted') queue.releases.shift();
+    return result;
+  }
+}
--- a/packages/orders/src/types.ts
+++ b/packages/orders/src/types.ts
@@ -39,17 +39,20 @@
   readonly deadlineAtMs: number;
 }
 
+/** Answer that an order did not run; it is final for this attempt. */
+export interface NotRunAnswer {
+  readonly outcome: 'not-run';
+  readonly code: string;
+  readonly retryAfterMs: number;
+  /** Ticket for a new key, when the old one cannot be used any more. */
+  readonly newTicket?: string | undefined;
+}
+
 /** What the caller is told about its order. */
 export type OrderAnswer =
   | { readonly outcome: 'ran'; readonly code: 'answered'; readonly answer: StoredAnswer }
   | { readonly outcome: 'ran'; readonly code: 'answer-not-kept' }
-  | {
-      readonly outcome: 'not-run';
-      readonly code: string;
-      readonly retryAfterMs: number;
-      /** Ticket for a new key, when the old one cannot be used any more. */
-      readonly newTicket?: string | undefined;
-    }
+  | NotRunAnswer
   | {
       readonly outcome: 'unknown';
       readonly code: string;
@@ -110,6 +113,7 @@
 /** End of an order, as the home reports it to the witness. */
 export interface CompletionReport {
   readonly key: string;
+  readonly requestHash: string | undefined;
   readonly answer: StoredAnswer;
 }
 
@@ -123,10 +127,18 @@
   readonly final: boolean;
 }
 
+/** What one witness needs from a home that stops. */
+export interface Handover {
+  readonly witness: MemberId;
+  readonly claimedKeys: string[];
+  readonly completions: CompletionReport[];
+}
+
 /** A home's request to run an order. */
 export interface Claim {
   readonly key: OrderKey;
-  readonly home: MemberId;
+  readonly requestHash: string;
+  /** Grows with each attempt, so that a late release cannot cancel a newer claim. */
   readonly attempt: number;
 }
 
@@ -143,6 +155,8 @@
         | 'wrong-incarnation'
         | 'full'
         | 'no-lease'
+        | 'ticket-expired'
+        | 'key-reused'
         | 'unavailable';
     }
   | { readonly kind: 'completed'; readonly answer: StoredAnswer };
@@ -164,7 +178,7 @@
 /** Messages about orders between members; the methods do not reject. */
 export interface PeerOrderTransport {
   claim(witness: MemberId, claim: Claim): Promise<ClaimResult>;
-  takeover(witness: MemberId, key: OrderKey): Promise<TakeoverResult>;
+  takeover(witness: MemberId, key: OrderKey, requestHash: string): Promise<TakeoverResult>;
   release(witness: MemberId, key: OrderKey, attempt: number): Promise<ReportResult>;
   completions(witness: MemberId, reports: readonly CompletionReport[]): Promise<ReportResult>;
   handover(witness: MemberId, part: HandoverPart): Promise<ReportResult>;
@@ -200,7 +214,6 @@
 /** The order ran; its response is kept. */
 export interface CompletedEntry {
   readonly kind: 'completed';
-  /** Undefined on the witness side, which has not seen the request. */
   readonly requestHash: string | undefined;
   readonly answer: StoredAnswer;
 }
@@ -215,6 +228,7 @@
 /** Witness side: the home may run the order. */
 export interface ClaimedEntry {
   readonly kind: 'claimed';
+  readonly requestHash: string | undefined;
   readonly attempt: number;
 }
 
--- /dev/null
+++ b/packages/orders/src/witnessRegistry.ts
@@ -0,0 +1,135 @@
+import { assertNever, formatMember } from '@bronzelift/common';
+
+import type { MemberId } from '@bronzelift/common';
+import { RETENTION_MS, TICKET_VALIDITY_MS } from './constants.js';
+import { isReused } from './utils.js';
+
+import type { EntryTable } from './entryTable.js';
+import type {
+  Claim,
+  ClaimResult,
+  CompletionReport,
+  HandoverPart,
+  OrderEntry,
+  OrderKey,
+  TakeoverResult,
+  ViolationHandler,
+} from './types.js';
+
+/** Witness side of the registry. Claim and takeover of a key exclude each other here. */
+export class WitnessRegistry {
+  private readonly departedHomes = new Set<string>();
+
+  private constructor(
+    private readonly table: EntryTable,
+    private readonly nowMs: () => number,
+    private readonly onViolation: ViolationHandler,
+  ) {}
+
+  /** Creates the witness side of a registry on its table. */
+  static create(
+    table: EntryTable,
+    nowMs: () => number,
+    onViolation: ViolationHandler,
+  ): WitnessRegistry {
+    return new WitnessRegistry(table, nowMs, onViolation);
+  }
+
+  /** Decides about a claim of the home. */
+  grantClaim(claim: Claim): ClaimResult {
+    const nowMs = this.nowMs();
+    this.table.removeExpired(nowMs);
+    const { key, attempt, requestHash } = claim;
+    const entry = this.table.get(key.text);
+    if (entry === undefined) {
+      if (this.hasDeparted(key.ticket.home)) return 'taken-over';
+      if (!this.table.hasRoom()) return 'full';
+      this.table.set(key.text, { kind: 'claimed', requestHash, attempt }, nowMs);
+      return 'granted';
+    }
+    if (entry.kind !== 'claimed') return 'taken-over';
+    // A delayed duplicate of an earlier claim; the home does not wait for it any more.
+    if (attempt < entry.attempt) return 'unavailable';
+    this.table.set(key.text, { kind: 'claimed', requestHash, attempt }, nowMs);
+    return 'granted';
+  }
+
+  /** Whether an entry exists, so that the state of the home does not matter. */
+  hasEntry(key: OrderKey): boolean {
+    return this.table.get(key.text) !== undefined;
+  }
+
+  /** Takes a key over from a home that is gone. */
+  takeover(key: OrderKey, requestHash: string, isHomeGone: boolean): TakeoverResult {
+    const nowMs = this.nowMs();
+    this.table.removeExpired(nowMs);
+    const entry = this.table.get(key.text);
+    if (entry === undefined) return this.takeoverNew(key, isHomeGone, nowMs);
+    if (isReused(entry, requestHash)) return { kind: 'key-reused' };
+    switch (entry.kind) {
+      case 'claimed':
+        return { kind: 'claimed' };
+      case 'completed':
+        return { kind: 'completed', answer: entry.answer };
+      case 'claiming':
+      case 'running':
+      case 'unknown':
+      case 'taken-over':
+        return { kind: 'taken-over' };
+      default:
+        return assertNever(entry);
+    }
+  }
+
+  /** Forgets a claim that ended without a run, unless a newer one replaced it. */
+  release(key: OrderKey, attempt: number): void {
+    const entry = this.table.get(key.text);
+    if (entry?.kind === 'claimed' && entry.attempt <= attempt) this.table.delete(key.text);
+  }
+
+  /** Keeps the response of an order that the home ran. */
+  recordCompletion(report: CompletionReport): void {
+    const entry = this.table.get(report.key);
+    if (entry === undefined && !this.table.hasRoom()) return;
+    if (entry?.kind === 'completed') return;
+    if (entry !== undefined && entry.kind !== 'claimed') {
+      this.onViolation('order-at-most-once', `home ran ${report.key} after the takeover`);
+      if (entry.kind !== 'taken-over') return;
+    }
+    const answer = this.table.toKept(report.answer);
+    const { requestHash } = report;
+    this.table.set(report.key, { kind: 'completed', requestHash, answer }, this.nowMs());
+  }
+
+  /** Takes entries of a home that stops; false when there is no room for them. */
+  acceptHandover(part: HandoverPart): boolean {
+    for (const key of part.claimedKeys) {
+      if (this.table.get(key) !== undefined) continue;
+      if (!this.table.hasRoom()) return false;
+      const claimed: OrderEntry = { kind: 'claimed', requestHash: undefined, attempt: 0 };
+      this.table.set(key, claimed, this.nowMs());
+    }
+    for (const report of part.completions) {
+      if (!this.table.hasRoom() && this.table.get(report.key) === undefined) return false;
+      this.recordCompletion(report);
+    }
+    if (part.final) this.departedHomes.add(formatMember(part.home));
+    return true;
+  }
+
+  /** Whether a home handed its entries over to this member. */
+  hasDeparted(home: MemberId): boolean {
+    return this.departedHomes.has(formatMember(home));
+  }
+
+  private takeoverNew(key: OrderKey, isHomeGone: boolean, nowMs: number): TakeoverResult {
+    const ageMs = nowMs - key.ticket.issuedAtMs;
+    // An entry may have expired, so its absence proves nothing.
+    if (ageMs >= RETENTION_MS) return { kind: 'claimed' };
+    if (!isHomeGone && !this.hasDeparted(key.ticket.home)) return { kind: 'home-alive' };
+    if (ageMs >= TICKET_VALIDITY_MS) return { kind: 'ticket-expired' };
+    if (!this.table.hasRoom()) return { kind: 'full' };
+    this.table.set(key.text, { kind: 'taken-over' }, nowMs);
+    return { kind: 'taken-over' };
+  }
+}
