--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './constants.js';
+export type * from './types.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export type * from './types.js';
