--- /dev/null
+++ b/packages/observability/src/decisionLog.ts
@@ -0,0 +1,161 @@
+import { createConsola } from 'consola';
+import type { ConsolaInstance, LogObject } from 'consola';
+
+import type { Clock } from '@bronzelift/common';
+
+import {
+  DEFAULT_FLUSH_INTERVAL_MS,
+  DEFAULT_MAX_BUFFERED_LINES,
+  LogComponent,
+  MAX_LINES_PER_FLUSH,
+} from './constants.js';
+import type { LogCounts, LogEntry, LogFields, LogSeverity, LogSink } from './types.js';
+import { createStdoutSink, formatEntry } from './utils.js';
+
+const CONSOLA_INFO_LEVEL = 3;
+
+/** Parameters of a decision log. */
+export interface DecisionLogOptions {
+  readonly clock: Clock;
+  /** Default: stdout, written without blocking the event loop. */
+  readonly sink?: LogSink;
+  readonly maxBufferedLines?: number;
+  readonly flushIntervalMs?: number;
+}
+
+/** Log whose lines are buffered in memory and written by a timer, off the request path. */
+export class DecisionLog {
+  private buffer: LogEntry[] = [];
+
+  /** Entries before this index are written already. */
+  private head = 0;
+
+  private writtenLines = 0;
+
+  private droppedLines = 0;
+
+  private unreportedDrops = 0;
+
+  private flushing: Promise<void> | undefined;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private readonly consola: ConsolaInstance;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly sink: LogSink,
+    private readonly maxBufferedLines: number,
+    private readonly flushIntervalMs: number,
+  ) {
+    this.consola = createConsola({
+      level: CONSOLA_INFO_LEVEL,
+      // Equal lines are separate decisions, so that none is merged.
+      throttle: 0,
+      throttleMin: Infinity,
+      reporters: [{ log: (logged) => this.append(logged) }],
+    });
+  }
+
+  /** Creates a log; lines are written after `start`, or by `flush`. */
+  static create(options: DecisionLogOptions): DecisionLog {
+    return new DecisionLog(
+      options.clock,
+      options.sink ?? createStdoutSink(),
+      options.maxBufferedLines ?? DEFAULT_MAX_BUFFERED_LINES,
+      options.flushIntervalMs ?? DEFAULT_FLUSH_INTERVAL_MS,
+    );
+  }
+
+  /** Writes a line about a decision; `fields` must not change afterwards. */
+  info(component: LogComponent, message: string, fields: LogFields = {}): void {
+    this.write('info', component, message, fields);
+  }
+
+  /** Writes a line about a fault that the system handles itself. */
+  warn(component: LogComponent, message: string, fields: LogFields = {}): void {
+    this.write('warn', component, message, fields);
+  }
+
+  /** Writes a line about a fault that an operator must look into. */
+  error(component: LogComponent, message: string, fields: LogFields = {}): void {
+    this.write('error', component, message, fields);
+  }
+
+  /** Starts the timer that writes buffered lines. */
+  start(): void {
+    this.timer ??= setInterval(() => {
+      this.flushing ??= this.flushSlice().finally(() => {
+        this.flushing = undefined;
+      });
+    }, this.flushIntervalMs);
+    this.timer.unref();
+  }
+
+  /** Stops the timer and writes what is left. */
+  async close(): Promise<void> {
+    clearInterval(this.timer);
+    this.timer = undefined;
+    await this.flushing;
+    while (this.buffered > 0 || this.unreportedDrops > 0) await this.flushSlice();
+  }
+
+  /** Formats and writes the next lines, at most MAX_LINES_PER_FLUSH. */
+  async flushSlice(): Promise<void> {
+    const slice = this.buffer.slice(this.head, this.head + MAX_LINES_PER_FLUSH);
+    const drops = this.unreportedDrops;
+    if (slice.length === 0 && drops === 0) return;
+    this.head += slice.length;
+    this.compact();
+    this.unreportedDrops = 0;
+    let text = slice.map(formatEntry).join('');
+    if (drops > 0) text += formatEntry(this.describeDrops(drops));
+    await this.sink(text);
+    this.writtenLines += slice.length;
+  }
+
+  /** Lines written, dropped because the buffer was full, and waiting. */
+  counts(): LogCounts {
+    return { written: this.writtenLines, dropped: this.droppedLines, buffered: this.buffered };
+  }
+
+  private get buffered(): number {
+    return this.buffer.length - this.head;
+  }
+
+  private write(
+    severity: LogSeverity,
+    component: LogComponent,
+    message: string,
+    fields: LogFields,
+  ): void {
+    if (this.buffered >= this.maxBufferedLines) {
+      this.droppedLines += 1;
+      this.unreportedDrops += 1;
+      return;
+    }
+    this.consola[severity](component, message, fields);
+  }
+
+  private append(logged: LogObject): void {
+    const [component, message, fields] = logged.args as [LogComponent, string, LogFields];
+    const severity = logged.type as LogSeverity;
+    this.buffer.push({ atMs: this.clock.wallMs(), severity, component, message, fields });
+  }
+
+  private describeDrops(count: number): LogEntry {
+    return {
+      atMs: this.clock.wallMs(),
+      severity: 'warn',
+      component: LogComponent.daemon,
+      message: 'log buffer was full; lines dropped',
+      fields: { count },
+    };
+  }
+
+  private compact(): void {
+    if (this.head < this.buffer.length && this.head < this.maxBufferedLines / 2) return;
+    this.buffer = this.buffer.slice(this.head);
+    this.head = 0;
+  }
+}
