standins, loadTool: public types and behaviors

Cause: the demo launcher is written against these interfaces. Change: options, reports, behavior schemas, the expected response body, load options and results. No implementation yet, nothing measured.

--- a/packages/loadTool/src/index.ts
+++ b/packages/loadTool/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './types.js';
--- /dev/null
+++ b/packages/standins/src/behaviors.ts
@@ -0,0 +1,124 @@
+import { z } from 'zod';
+
+const durationMs = z.number().nonnegative();
+const count = z.number().int().nonnegative();
+const outageMode = z.enum(['refuse', 'hang']);
+
+/** Service answers 503 or not at all; for good unless a duration is given. */
+const outage = z.strictObject({
+  kind: z.literal('outage'),
+  mode: outageMode.default('refuse'),
+  durationMs: durationMs.optional(),
+});
+
+/** Ends an outage. */
+const available = z.strictObject({ kind: z.literal('available') });
+
+/** Delays every response. */
+const delay = z.strictObject({ kind: z.literal('delay'), delayMs: durationMs });
+
+/** Behaviors of the log stand-in. */
+export const logBehaviorSchema = z.discriminatedUnion('kind', [
+  outage,
+  available,
+  delay,
+  /** The next appends take effect, but their connection is reset instead of a response. */
+  z.strictObject({ kind: z.literal('lose-append-responses'), count }),
+  z.strictObject({
+    kind: z.literal('retention'),
+    maxAgeMs: durationMs.nullable().optional(),
+    maxRecords: count.nullable().optional(),
+  }),
+  z.strictObject({ kind: z.literal('append-limit'), perSecond: count }),
+  /** The log starts again with a new logId, empty, at the given offset. */
+  z.strictObject({ kind: z.literal('restart'), endOffset: count }),
+  /** Cuts off only the clients with these ids. */
+  z.strictObject({
+    kind: z.literal('block'),
+    clientIds: z.array(z.string()).min(1),
+    mode: outageMode.default('hang'),
+  }),
+  /** Lets the clients through again; all when none is given. */
+  z.strictObject({ kind: z.literal('unblock'), clientIds: z.array(z.string()).optional() }),
+]);
+export type LogBehavior = z.input<typeof logBehaviorSchema>;
+
+/** Behaviors of the VM list stand-in. */
+export const vmListBehaviorSchema = z.discriminatedUnion('kind', [
+  outage,
+  available,
+  delay,
+  z.strictObject({
+    kind: z.literal('add'),
+    vms: z.array(
+      z.strictObject({
+        vmId: z.string().min(1),
+        address: z.string().min(1),
+        failureDomainId: z.string().min(1),
+        state: z.enum(['live', 'leaving']).default('live'),
+      }),
+    ),
+  }),
+  z.strictObject({ kind: z.literal('leaving'), vmIds: z.array(z.string()).min(1) }),
+  z.strictObject({ kind: z.literal('remove'), vmIds: z.array(z.string()).min(1) }),
+  z.strictObject({ kind: z.literal('lag'), lagMs: durationMs }),
+]);
+export type VmListBehavior = z.input<typeof vmListBehaviorSchema>;
+
+const target = z
+  .union([
+    z.literal('all'),
+    z.strictObject({ instanceId: z.string() }),
+    z.strictObject({ failureDomainId: z.string() }),
+    z.strictObject({ service: z.string() }),
+  ])
+  .default('all');
+
+/** Instances to which a behavior of the backend stand-in applies. */
+export type BehaviorTarget = z.output<typeof target>;
+
+/** Ways in which a response to a request that ran goes wrong. */
+export const RESPONSE_FAULTS = ['late', 'crossed', 'cut-short', 'reset-midway'] as const;
+export type ResponseFaultName = (typeof RESPONSE_FAULTS)[number];
+
+/** Behaviors of the backend stand-in. */
+export const backendBehaviorSchema = z.discriminatedUnion('kind', [
+  /** Resets all connections and starts cold with a new boot id, after `downMs` of closed ports. */
+  z.strictObject({ kind: z.literal('restart'), target, downMs: durationMs.default(0) }),
+  /** Becomes cold without notice: same process, same connections. */
+  z.strictObject({ kind: z.literal('cold'), target }),
+  /** Makes an instance warm at once, to set up a test. */
+  z.strictObject({ kind: z.literal('warm'), target }),
+  /** Multiplies service times; a factor of 1 ends it. */
+  z.strictObject({ kind: z.literal('slow'), target, factor: z.number().positive() }),
+  /** Accepts connections and requests but neither runs nor responds, until `unfreeze`. */
+  z.strictObject({ kind: z.literal('freeze'), target, durationMs: durationMs.optional() }),
+  z.strictObject({ kind: z.literal('unfreeze'), target }),
+  z.strictObject({ kind: z.literal('drain'), target }),
+  z.strictObject({ kind: z.literal('undrain'), target }),
+  /** Responses go wrong with a probability, at most `count` times. */
+  z.strictObject({
+    kind: z.literal('response-fault'),
+    target,
+    fault: z.enum(RESPONSE_FAULTS),
+    probability: z.number().min(0).max(1).default(1),
+    count: count.optional(),
+    /** Extra time of a late response. */
+    delayMs: durationMs.default(1000),
+  }),
+  z.strictObject({ kind: z.literal('clear-response-faults'), target }),
+  /** Connections open now never carry another byte; new ones work. */
+  z.strictObject({ kind: z.literal('silence-connections'), target }),
+  /** False load headers and probe responses; without fields, truthful again. */
+  z.strictObject({
+    kind: z.literal('misreport'),
+    target,
+    loadState: z.enum(['cold', 'warm', 'draining']).optional(),
+    inFlight: count.optional(),
+  }),
+]);
+export type BackendBehavior = z.input<typeof backendBehaviorSchema>;
+export type ParsedLogBehavior = z.output<typeof logBehaviorSchema>;
+export type ParsedVmListBehavior = z.output<typeof vmListBehaviorSchema>;
+export type ParsedBackendBehavior = z.output<typeof backendBehaviorSchema>;
+export type ResponseFault = Extract<ParsedBackendBehavior, { kind: 'response-fault' }>;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './behaviors.js';
+export * from './constants.js';
+export * from './expectedBody.js';
+export * from './types.js';
