--- /dev/null
+++ b/packages/entryDaemon/src/constants.ts
@@ -0,0 +1,56 @@
+/** Codes of answers that do not come from a backend server, with status and text. */
+export const ANSWER_CODES = {
+  'bad-request': { status: 400, message: 'the request is malformed' },
+  'key-required': { status: 400, message: 'an order needs an idempotency key' },
+  'unknown-service': { status: 404, message: 'no service of this name is configured' },
+  'unknown-path': { status: 404, message: 'no such resource' },
+  'ticket-expired': { status: 410, message: 'the ticket of the key has expired' },
+  'too-large': { status: 413, message: 'the request body is larger than the service allows' },
+  'key-reused': { status: 422, message: 'the key was used for another request' },
+  'answer-not-kept': { status: 409, message: 'the order ran; its answer was too large to keep' },
+  'backend-failed': { status: 502, message: 'the connection to the backend server broke' },
+  'answer-too-large': { status: 502, message: 'the answer of the backend server is too large' },
+  'not-ready': { status: 503, message: 'this entry VM has no lease or no fresh state' },
+  'no-capacity': { status: 503, message: 'no instance of the service may take work' },
+  overloaded: { status: 503, message: 'no slot becomes free before the deadline' },
+  displaced: { status: 503, message: 'the request gave way to an order' },
+  'shutting-down': { status: 503, message: 'this entry VM is shutting down' },
+  'wrong-incarnation': { status: 503, message: 'the entry VM has restarted' },
+  'not-a-member': { status: 503, message: 'the sender is not a member of the roster' },
+  'deadline-passed': { status: 504, message: 'the deadline passed before the request was sent' },
+  timeout: { status: 504, message: 'no answer before the deadline' },
+  'too-deep': { status: 508, message: 'the call is nested too deep' },
+} as const;
+
+/** Status of codes that are not in the table. */
+export const DEFAULT_REFUSAL_STATUS = 503;
+
+/** Refused callers come back after a time spread over this range, in milliseconds. */
+export const RETRY_AFTER_RANGE_MS = { min: 100, max: 400 } as const;
+
+/** Largest time limit that a caller can ask for. */
+export const MAX_TIMEOUT_MS = 60_000;
+
+/** Timeout of a request that names a service without configuration, in milliseconds. */
+export const FALLBACK_TIMEOUT_MS = 2_000;
+
+/** Paths of forwarded requests on the peer port. */
+export const FORWARD_PREFIX = '/peer/v1/forward/';
+
+/** Request headers larger than this are refused by the HTTP parser. */
+export const MAX_HEADER_BYTES = 16_384;
+
+/** An event loop gap above this counts as a pause of the process. */
+export const PAUSE_THRESHOLD_MS = 500;
+
+/** How often the daemon refreshes rights, connections and probes. */
+export const MAINTENANCE_INTERVAL_MS = 100;
+
+/** A probe is sent when an owned instance has not answered for this long. */
+export const PROBE_AFTER_SILENCE_MS = 1_000;
+
+/** Wait between the announcement of a shutdown and the end of service, beyond keepForMs. */
+export const SHUTDOWN_EXTRA_MS = 1_000;
+
+/** Limit of the wait for requests in flight at shutdown. */
+export const SHUTDOWN_DRAIN_LIMIT_MS = 60_000;
--- /dev/null
+++ b/packages/localDeployment/src/constants.ts
@@ -0,0 +1,50 @@
+import type { DeploymentShape } from './types.js';
+
+/** Time allowed for a process to start and report that it is ready, in milliseconds. */
+export const START_LIMIT_MS = 30_000;
+
+/** Pause between two looks at a condition, in milliseconds. */
+export const POLL_INTERVAL_MS = 50;
+
+/** Host of all processes. */
+export const LOOPBACK = '127.0.0.1';
+
+/** The two deployments of the design page, in full and at a small size for demonstrations. */
+export const SHAPES = {
+  mantelmaat: {
+    name: 'mantelmaat',
+    failureDomainIds: ['ghent-a', 'ghent-b', 'ghent-c', 'ghent-d'],
+    services: [
+      { service: 'profiles', instances: 20, slots: 4, connections: 200, meanServiceMs: 10 },
+      { service: 'sizes', instances: 10, slots: 4, connections: 200, meanServiceMs: 5 },
+    ],
+    entries: 16,
+  },
+  authority: {
+    name: 'authority',
+    failureDomainIds: ['nyeri', 'muranga', 'kirinyaga'],
+    services: [
+      { service: 'loans', instances: 20, slots: 6, connections: 250, meanServiceMs: 10 },
+      { service: 'calibrations', instances: 15, slots: 6, connections: 250, meanServiceMs: 5 },
+    ],
+    entries: 15,
+  },
+  mantelmaatSmall: {
+    name: 'mantelmaat-small',
+    failureDomainIds: ['ghent-a', 'ghent-b', 'ghent-c', 'ghent-d'],
+    services: [
+      { service: 'profiles', instances: 8, slots: 4, connections: 200, meanServiceMs: 10 },
+      { service: 'sizes', instances: 4, slots: 4, connections: 200, meanServiceMs: 5 },
+    ],
+    entries: 4,
+  },
+  authoritySmall: {
+    name: 'authority-small',
+    failureDomainIds: ['nyeri', 'muranga', 'kirinyaga'],
+    services: [
+      { service: 'loans', instances: 6, slots: 6, connections: 250, meanServiceMs: 10 },
+      { service: 'calibrations', instances: 6, slots: 6, connections: 250, meanServiceMs: 5 },
+    ],
+    entries: 3,
+  },
+} as const satisfies Record<string, DeploymentShape>;
--- /dev/null
+++ b/packages/localDeployment/src/index.ts
@@ -0,0 +1,5 @@
+export * from './constants.js';
+export * from './localDeployment.js';
+export * from './localProcess.js';
+export * from './types.js';
+export * from './utils.js';
--- /dev/null
+++ b/packages/localDeployment/src/localProcess.ts
@@ -0,0 +1,70 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { createWriteStream } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+
+const REPOSITORY = fileURLToPath(new URL('../../../', import.meta.url));
+
+/** A binary of this repository that runs as a child process; its output goes to a file. */
+export class LocalProcess {
+  /** Resolves with the exit code, or the signal that ended the process. */
+  readonly ended: Promise<number | NodeJS.Signals>;
+
+  private exited = false;
+
+  private constructor(
+    readonly name: string,
+    private readonly child: ChildProcess,
+    readonly outputPath: string,
+  ) {
+    const output = createWriteStream(outputPath, { flags: 'a' });
+    child.stdout?.pipe(output, { end: false });
+    child.stderr?.pipe(output, { end: false });
+    this.ended = new Promise((resolve) => {
+      child.once('exit', (code, signal) => {
+        this.exited = true;
+        output.end();
+        resolve(signal ?? code ?? 0);
+      });
+    });
+  }
+
+  /** Starts `apps/<app>/bin/<binary>.js` with arguments. */
+  static create(
+    app: string,
+    binary: string,
+    args: readonly string[],
+    outputPath: string,
+  ): LocalProcess {
+    const script = `${REPOSITORY}apps/${app}/bin/${binary}.js`;
+    const child = spawn(process.execPath, ['--enable-source-maps', script, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    return new LocalProcess(binary, child, outputPath);
+  }
+
+  /** Process id. */
+  get pid(): number {
+    return this.child.pid ?? -1;
+  }
+
+  /** Whether the process still runs. */
+  get isRunning(): boolean {
+    return !this.exited;
+  }
+
+  /** Sends a signal; does nothing after the end. */
+  signal(signal: NodeJS.Signals): void {
+    if (this.isRunning) this.child.kill(signal);
+  }
+
+  /** Ends the process: asks first, then kills after the limit in milliseconds. */
+  async stop(limitMs = 3_000): Promise<void> {
+    if (!this.isRunning) return;
+    this.signal('SIGCONT');
+    this.signal('SIGTERM');
+    const timer = setTimeout(() => this.signal('SIGKILL'), limitMs);
+    await this.ended;
+    clearTimeout(timer);
+  }
+}
