--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,1 +1,3 @@
+export * from './constants.js';
+export * from './parseConfiguration.js';
 export * from './types.js';
--- a/packages/settings/src/iniDocument.ts
+++ b/packages/settings/src/iniDocument.ts
@@ -19,11 +19,12 @@
   return undefined;
 };
 
-/** The library decodes the value; one line at a time, so that lines can't affect one another. */
-const decodeValue = (key: string, value: string): string => {
-  const decoded = (ini.parse(`${key}=${value}`) as Record<string, unknown>)[key];
-  return decoded === undefined ? '' : String(decoded);
-};
+/**
+ * The library decodes the values in one call, each under its line number, so that no line
+ * affects another.
+ */
+const decodeValues = (rawValues: readonly string[]): Readonly<Record<string, unknown>> =>
+  ini.parse(rawValues.join('\n'));
 
 interface OpenSection {
   readonly name: string;
@@ -37,6 +38,8 @@
 
   private readonly problems: IniProblem[] = [];
 
+  private readonly rawValues: string[] = [];
+
   private current: OpenSection | undefined;
 
   private constructor(private readonly file: string) {}
@@ -51,7 +54,9 @@
       this.readLine(lines[index]!, index + 1);
       if (this.problems.length > MAX_REPORTED_PROBLEMS) break;
     }
-    return { file: this.file, sections: [...this.sections.values()], problems: this.problems };
+    const sections = [...this.sections.values()];
+    this.decodeEntries(sections);
+    return { file: this.file, sections, problems: this.problems };
   }
 
   private readLine(text: string, line: number): void {
@@ -108,10 +113,23 @@
     }
     section.linesByKey.set(key, line);
     const mistake = describeBadValue(rawValue);
-    const value = mistake === undefined ? decodeValue(key, rawValue) : rawValue;
-    if (mistake !== undefined) this.addProblem(line, path, mistake, rawValue);
-    else if (value === '') this.addProblem(line, path, 'a value after `=`');
-    section.entries.push({ key, value, line });
+    if (mistake === undefined) this.rawValues.push(`${line}=${rawValue}`);
+    else this.addProblem(line, path, mistake, rawValue);
+    section.entries.push({ key, value: rawValue, line });
+  }
+
+  private decodeEntries(sections: readonly OpenSection[]): void {
+    const decoded = decodeValues(this.rawValues);
+    sections.forEach((section) => {
+      section.entries.forEach((entry) => {
+        const value = decoded[entry.line];
+        // Absent after a bad value, which is reported already.
+        if (value === undefined) return;
+        Object.assign(entry, { value: String(value) });
+        if (value !== '') return;
+        this.addProblem(entry.line, `[${section.name}] ${entry.key}`, 'a value after `=`');
+      });
+    });
   }
 
   private addProblem(line: number, key: string, expected: string, found?: string): void {
