--- a/packages/controlLog/src/constants.ts
+++ b/packages/controlLog/src/constants.ts
@@ -54,3 +54,6 @@
 
 /** Random delay before a snapshot that is overdue or follows a restart of the log. */
 export const URGENT_SNAPSHOT_DELAY_MS = 250;
+
+/** Delay before a snapshot becomes the base of a log that holds none; others may know more. */
+export const BASE_SNAPSHOT_DELAY_MS = 10_000;
--- /dev/null
+++ b/packages/controlLog/src/logClient.ts
@@ -0,0 +1,166 @@
+import { Agent } from 'node:http';
+
+import type { Result } from 'ts-results';
+import { z } from 'zod';
+
+import { StepError, formatEndpoint } from '@bronzelift/common';
+import type { Clock, Endpoint } from '@bronzelift/common';
+import { Err, Ok } from '@bronzelift/settings';
+
+import {
+  CONNECT_TIMEOUT_MS,
+  MAX_COUNTER,
+  MAX_RESPONSE_BYTES,
+  REQUEST_TIMEOUT_MS,
+  SILENCE_TIMEOUT_MS,
+} from './constants.js';
+import { exchange } from './httpExchange.js';
+import type { ExchangeResult } from './httpExchange.js';
+import type { AppendFailure, LogPage } from './types.js';
+
+const APPEND_STEP = 'append log record';
+const READ_STEP = 'read log';
+const CREATED = 201;
+const OK_STATUS = 200;
+const SERVER_ERROR = 500;
+
+const offsetSchema = z.number().int().min(0).max(MAX_COUNTER);
+
+const appendedSchema = z.object({ offset: offsetSchema });
+
+const pageSchema = z.object({
+  logId: z.string().min(1),
+  firstOffset: offsetSchema,
+  endOffset: offsetSchema,
+  records: z.array(
+    z.object({ offset: offsetSchema, appendedAtMs: z.number(), payload: z.unknown() }),
+  ),
+});
+
+/** Options of the client. */
+export interface LogClientOptions {
+  readonly endpoint: Endpoint;
+  /** Names this process to the log service, for its diagnosis. */
+  readonly clientId: string;
+  readonly clock: Clock;
+}
+
+/** A read that failed; `tooLarge` asks for fewer records. */
+export interface ReadFailure {
+  readonly error: StepError;
+  readonly tooLarge: boolean;
+}
+
+const decodeBody = <T>(schema: z.ZodType<T>, body: string): T | undefined => {
+  try {
+    const parsed = schema.safeParse(JSON.parse(body));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+};
+
+/** Client of the log service over HTTP. */
+export class LogClient {
+  private readonly peer: string;
+
+  /** One kept connection for the reads, which follow one another. */
+  private readonly readAgent = new Agent({ keepAlive: true, maxSockets: 2 });
+
+  /** A new connection for each append: a failure to connect proves that nothing was sent. */
+  private readonly appendAgent = new Agent({ keepAlive: false });
+
+  private constructor(private readonly options: LogClientOptions) {
+    this.peer = formatEndpoint(options.endpoint);
+  }
+
+  /** Creates a client; no connection is opened before the first call. */
+  static create(options: LogClientOptions): LogClient {
+    return new LogClient(options);
+  }
+
+  /**
+   * Appends a record and returns its offset. The failure says whether the record may be on
+   * the log: only a connection that was never opened and a status below 500 rule it out.
+   */
+  async append(payload: string, signal?: AbortSignal): Promise<Result<number, AppendFailure>> {
+    const startedAtMs = this.options.clock.monotonicMs();
+    const result = await exchange({
+      ...this.commonOptions(),
+      agent: this.appendAgent,
+      method: 'POST',
+      path: '/v1/records',
+      body: JSON.stringify({ payload }),
+      silenceTimeoutMs: SILENCE_TIMEOUT_MS * 2,
+      ...(signal && { signal }),
+    });
+    const tookMs = Math.round(this.options.clock.monotonicMs() - startedAtMs);
+    return this.readAppendResult(result, tookMs);
+  }
+
+  /**
+   * Reads up to `limit` records from an offset. Waits up to `waitMs` for a first record when
+   * there is none yet.
+   */
+  async read(
+    from: number,
+    limit: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<Result<LogPage, ReadFailure>> {
+    const result = await exchange({
+      ...this.commonOptions(),
+      agent: this.readAgent,
+      method: 'GET',
+      path: `/v1/records?from=${from}&limit=${limit}&waitMs=${waitMs}`,
+      silenceTimeoutMs: waitMs + SILENCE_TIMEOUT_MS,
+      totalTimeoutMs: waitMs + REQUEST_TIMEOUT_MS,
+      ...(signal && { signal }),
+    });
+    if (result.kind === 'failed') return this.failRead(result.detail, result.tooLarge);
+    if (result.status !== OK_STATUS) return this.failRead(`status ${result.status}`);
+    const page = decodeBody(pageSchema, result.body);
+    if (page === undefined) return this.failRead('malformed response');
+    return Ok({ ...page, sizeBytes: Buffer.byteLength(result.body) });
+  }
+
+  /** Closes the connections. */
+  close(): void {
+    this.readAgent.destroy();
+    this.appendAgent.destroy();
+  }
+
+  private commonOptions() {
+    return {
+      endpoint: this.options.endpoint,
+      headers: {
+        'content-type': 'application/json',
+        'bronzelift-client-id': this.options.clientId,
+      },
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      totalTimeoutMs: REQUEST_TIMEOUT_MS,
+      maxResponseBytes: MAX_RESPONSE_BYTES,
+    };
+  }
+
+  private readAppendResult(result: ExchangeResult, tookMs: number): Result<number, AppendFailure> {
+    if (result.kind === 'failed') {
+      const kind = result.sent ? 'unknown' : 'refused';
+      return this.failAppend(kind, `${result.detail} (after ${tookMs} ms)`);
+    }
+    if (result.status === CREATED) {
+      const appended = decodeBody(appendedSchema, result.body);
+      return appended ? Ok(appended.offset) : this.failAppend('unknown', 'malformed response');
+    }
+    const kind = result.status >= SERVER_ERROR || result.status < 300 ? 'unknown' : 'refused';
+    return this.failAppend(kind, `status ${result.status}`);
+  }
+
+  private failAppend(kind: AppendFailure['kind'], detail: string): Result<number, AppendFailure> {
+    return Err({ kind, error: StepError.create(APPEND_STEP, this.peer, detail) });
+  }
+
+  private failRead(detail: string, tooLarge = false): Result<LogPage, ReadFailure> {
+    return Err({ error: StepError.create(READ_STEP, this.peer, detail), tooLarge });
+  }
+}
--- a/packages/controlLog/src/state.ts
+++ b/packages/controlLog/src/state.ts
@@ -26,25 +26,15 @@
   stored: StoredState,
 ): Result<ConfigurationPart, string> => {
   const { configurationVersion, applyId, configurationText } = stored;
+  const part = { configurationVersion, applyId, configurationText };
   if (configurationVersion === 0) {
-    return Ok({
-      configurationVersion,
-      applyId,
-      configurationText,
-      configuration: INITIAL_STATE.configuration,
-    });
+    return Ok({ ...part, configurationText: '', configuration: INITIAL_STATE.configuration });
   }
   if (configurationText === own.configurationText) {
-    return Ok({
-      configurationVersion,
-      applyId,
-      configurationText,
-      configuration: own.configuration,
-    });
+    return Ok({ ...part, configuration: own.configuration });
   }
   const parsed = parseAppliedText(configurationText);
-  if (parsed.err) return parsed;
-  return Ok({ configurationVersion, applyId, configurationText, configuration: parsed.val });
+  return parsed.ok ? Ok({ ...part, configuration: parsed.val }) : parsed;
 };
 
 const mergeDrainsAndRoster = (own: ControlState, other: StoredState): ControlState => {
@@ -93,9 +83,12 @@
   return restored.ok ? Ok({ ...merged, ...restored.val }) : restored;
 };
 
-/** The whole stored state with its text parsed. */
-export const restoreState = (stored: StoredState): Result<ControlState, string> => {
-  const restored = restoreConfiguration(INITIAL_STATE, stored);
+/** The whole stored state; the text is parsed unless `known` has the same one parsed. */
+export const restoreState = (
+  stored: StoredState,
+  known: ControlState = INITIAL_STATE,
+): Result<ControlState, string> => {
+  const restored = restoreConfiguration(known, stored);
   return restored.ok ? Ok({ ...stored, ...restored.val }) : restored;
 };
 
