--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './constants.js';
+export * from './memberLease.js';
+export * from './types.js';
+export * from './utils.js';
