--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -14,6 +14,8 @@
   /** Counter that advances by one with each log record that can change who holds a slot. */
   readonly epoch: number;
   readonly members: readonly RosterMember[];
+  /** First epoch with the same members, where known; the epochs from there on are not unknown. */
+  readonly fromEpoch?: number;
 }
 
 /** Counters of the control state that a member has adopted. */
--- /dev/null
+++ b/packages/membership/tests/clusterModel.ts
@@ -0,0 +1,302 @@
+import { ManualClock, SeededRandom, randomInteger } from '@bronzelift/common';
+import { SlotRights, assignSlots, heldSlots } from '@bronzelift/slots';
+import type { SlotAssignment } from '@bronzelift/slots';
+
+import { MemberLease, memberKey } from '../src/index.js';
+import type { PeerReport, Roster, RosterMember } from '../src/index.js';
+
+const STEP_MS = 50;
+const INSTANCES = ['i1', 'i2', 'i3'].map((instanceId) => ({
+  instanceId,
+  service: 's',
+  failureDomainId: 'd',
+  slots: 2,
+}));
+
+/** Rates of faults in one schedule, as probabilities for each step. */
+export interface FaultRates {
+  readonly loss: number;
+  readonly partition: number;
+  readonly pause: number;
+  readonly kill: number;
+  readonly eviction: number;
+  readonly skippedEpochs: number;
+}
+
+interface Process {
+  readonly self: RosterMember;
+  readonly lease: MemberLease;
+  readonly rights: SlotRights;
+  isAlive: boolean;
+  pausedUntilMs: number;
+  readLogAtMs: number;
+}
+
+const isRunning = (process: Process, nowMs: number): boolean =>
+  process.isAlive && process.pausedUntilMs <= nowMs;
+
+const reportOf = ({ lease }: Process): PeerReport => ({
+  epoch: lease.epoch,
+  configurationVersion: 0,
+  drainRevision: 0,
+  settledEpoch: lease.settledEpoch(),
+});
+
+/** Several entry VMs that drive MemberLease, SlotRights and assignSlots under faults. */
+export class ClusterModel {
+  readonly clock = ManualClock.create();
+
+  /** Text of the first conflict: two members with a usable right to the same slot. */
+  conflict: string | undefined;
+
+  /** Slots that were usable, summed over the steps; shows that the run was not vacuous. */
+  usableSlotSteps = 0;
+
+  private readonly random: SeededRandom;
+
+  private readonly log: Roster[] = [];
+
+  private readonly assignments = new Map<Roster, SlotAssignment>();
+
+  private readonly processes: Process[] = [];
+
+  private readonly events: { readonly atMs: number; readonly run: () => void }[] = [];
+
+  /** Group of each VM; messages between different groups are lost. Group 0 reads the log. */
+  private readonly groups = new Map<string, number>();
+
+  private isHealed = false;
+
+  private constructor(
+    seed: number,
+    private readonly vmCount: number,
+    private readonly rates: FaultRates,
+  ) {
+    this.random = SeededRandom.create(seed);
+  }
+
+  static create(seed: number, vmCount: number, rates: FaultRates): ClusterModel {
+    const model = new ClusterModel(seed, vmCount, rates);
+    for (let vm = 1; vm <= vmCount; vm++) model.start(`vm${vm}`);
+    return model;
+  }
+
+  run(durationMs: number): void {
+    const endMs = this.clock.monotonicMs() + durationMs;
+    while (this.clock.monotonicMs() < endMs && !this.conflict) this.step();
+  }
+
+  /** Ends all faults; dead members are evicted as gone and the rest keeps running. */
+  heal(durationMs: number): void {
+    this.isHealed = true;
+    this.groups.clear();
+    for (const process of this.processes.filter(({ isAlive }) => !isAlive)) this.evict(process);
+    this.run(durationMs);
+  }
+
+  /** Running members of the newest roster that could not use all their slots. */
+  stuckMembers(): string[] {
+    const members = this.newest.members.map(memberKey);
+    return this.processes
+      .filter(({ isAlive, self }) => isAlive && members.includes(memberKey(self)))
+      .filter(({ lease }) => !(lease.isLeaseHeld() && lease.isSettled()))
+      .map(({ self, lease }) => `${memberKey(self)} epoch ${lease.epoch}`);
+  }
+
+  private step(): void {
+    this.clock.advance(STEP_MS);
+    const nowMs = this.clock.monotonicMs();
+    if (!this.isHealed) this.injectFaults();
+    const due = this.events.filter((event) => event.atMs <= nowMs);
+    const rest = this.events.filter((event) => event.atMs > nowMs);
+    this.events.splice(0, this.events.length, ...rest);
+    due.forEach((event) => event.run());
+    for (const process of this.processes) {
+      if (!isRunning(process, nowMs)) continue;
+      this.readLog(process);
+      if (nowMs % 500 === 0) this.sendHeartbeats(process);
+      this.rejoinWhenEvicted(process);
+    }
+    this.checkSlots();
+  }
+
+  private chance(probability: number): boolean {
+    return this.random.next() < probability;
+  }
+
+  private later(maxMs: number, run: () => void): void {
+    const delayMs = randomInteger(this.random, 0, maxMs);
+    this.events.push({ atMs: this.clock.monotonicMs() + delayMs, run });
+  }
+
+  private pick<T>(items: readonly T[]): T | undefined {
+    return items[randomInteger(this.random, 0, items.length - 1)];
+  }
+
+  private start(vmId: string): void {
+    const endpoint = { host: '127.0.0.1', port: Number(vmId.slice(2)) };
+    const self: RosterMember = {
+      vmId,
+      incarnation: `n${this.processes.length}`,
+      failureDomainId: 'd',
+      callerEndpoint: endpoint,
+      peerEndpoint: endpoint,
+    };
+    const lease = MemberLease.create(this.clock, self);
+    const rights = SlotRights.create();
+    this.processes.push({ self, lease, rights, isAlive: true, pausedUntilMs: 0, readLogAtMs: 0 });
+    const others = this.newest.members.filter((member) => member.vmId !== vmId);
+    this.append([...others, self]);
+  }
+
+  private get newest(): Roster {
+    return this.log[this.log.length - 1] ?? { epoch: 0, members: [] };
+  }
+
+  private append(members: readonly RosterMember[]): void {
+    this.log.push({ epoch: this.log.length + 1, members });
+  }
+
+  private evict({ self }: Process): void {
+    const { members } = this.newest;
+    const others = members.filter((member) => memberKey(member) !== memberKey(self));
+    if (others.length < members.length) this.append(others);
+  }
+
+  private injectFaults(): void {
+    const { rates } = this;
+    const nowMs = this.clock.monotonicMs();
+    const target = this.pick(this.processes.slice(-this.vmCount * 2));
+    if (this.chance(rates.partition)) {
+      this.groups.set(
+        `vm${randomInteger(this.random, 1, this.vmCount)}`,
+        randomInteger(this.random, 0, 1),
+      );
+    }
+    if (target && this.chance(rates.pause)) {
+      const durationMs = randomInteger(this.random, 100, 9000);
+      target.pausedUntilMs = nowMs + durationMs;
+      this.events.push({
+        atMs: nowMs + durationMs,
+        run: () => target.lease.observeLoopGap(durationMs),
+      });
+    }
+    if (target?.isAlive && this.chance(rates.kill)) {
+      target.isAlive = false;
+      if (this.chance(3 / 4)) this.later(8000, () => this.start(target.self.vmId));
+    }
+    if (target && this.chance(rates.eviction)) this.evictSilent(target);
+  }
+
+  /** A member with a lease evicts one that it cannot hear, as EvictionPolicy does. */
+  private evictSilent(target: Process): void {
+    const nowMs = this.clock.monotonicMs();
+    const evictors = this.processes.filter(
+      (one) => isRunning(one, nowMs) && one.lease.isLeaseHeld(),
+    );
+    const evictor = this.pick(evictors);
+    if (!evictor || this.groupOf(evictor) !== 0) return;
+    const isHeard = isRunning(target, nowMs) && this.groupOf(target) === 0;
+    if (!isHeard && evictor.lease.isMember(target.self)) this.evict(target);
+  }
+
+  /** Learns of the next epochs: one by one, or only of the newest as after a state fetch. */
+  private readLog(process: Process): void {
+    const nowMs = this.clock.monotonicMs();
+    if (this.groupOf(process) !== 0 || process.readLogAtMs > nowMs) return;
+    const delayMs = this.isHealed ? 100 : randomInteger(this.random, 0, 2000);
+    Object.assign(process, { readLogAtMs: nowMs + delayMs });
+    const first = this.chance(this.isHealed ? 0 : this.rates.skippedEpochs)
+      ? this.log.length - 1
+      : process.lease.epoch;
+    const last = this.chance(1 / 2) ? this.log.length : first + 1;
+    for (const roster of this.log.slice(first, last)) {
+      const { isAdopted, isContiguous } = process.lease.adoptRoster(roster);
+      const held = heldSlots(this.assignmentOf(roster), process.self.vmId);
+      if (isAdopted) process.rights.adopt(roster.epoch, held, isContiguous);
+    }
+  }
+
+  private assignmentOf(roster: Roster): SlotAssignment {
+    const known = this.assignments.get(roster) ?? assignSlots(roster.members, INSTANCES);
+    this.assignments.set(roster, known);
+    return known;
+  }
+
+  private groupOf({ self }: Process): number {
+    return this.groups.get(self.vmId) ?? 0;
+  }
+
+  private sendHeartbeats(sender: Process): void {
+    const peers = [
+      ...(sender.lease.currentRoster?.members ?? []),
+      ...sender.lease.unsettledMembers(),
+    ].filter((member) => member.vmId !== sender.self.vmId);
+    for (const peer of peers) {
+      const sentAtMs = this.clock.monotonicMs();
+      const report = reportOf(sender);
+      this.transmit(sender, peer, (receiver) => {
+        if (memberKey(receiver.self) !== memberKey(peer)) {
+          this.transmit(receiver, sender.self, () => sender.lease.recordGone(peer, 'replaced'));
+          return;
+        }
+        receiver.lease.recordReport(sender.self, report);
+        const isGranted = receiver.lease.shouldGrant(report.epoch);
+        const answer = reportOf(receiver);
+        this.transmit(receiver, sender.self, () => {
+          sender.lease.recordResponse(peer, sentAtMs, answer, isGranted);
+        });
+      });
+      this.probeDead(sender, peer);
+    }
+  }
+
+  /** A dead process refuses connections, as long as its VM answers. */
+  private probeDead(sender: Process, peer: RosterMember): void {
+    const target = this.processes.find(({ self }) => memberKey(self) === memberKey(peer))!;
+    if (target.isAlive || !(this.isHealed || this.chance(1 / 20))) return;
+    this.later(500, () => sender.lease.recordGone(peer, 'refused'));
+  }
+
+  private transmit(from: Process, to: RosterMember, deliver: (receiver: Process) => void): void {
+    const isLost = !this.isHealed && this.chance(this.rates.loss);
+    if (isLost) return;
+    const arrive = (): void => {
+      const receiver = [...this.processes].reverse().find(({ self }) => self.vmId === to.vmId)!;
+      if (!receiver.isAlive || this.groupOf(from) !== this.groupOf(receiver)) return;
+      const nowMs = this.clock.monotonicMs();
+      if (receiver.pausedUntilMs <= nowMs) deliver(receiver);
+      else this.events.push({ atMs: receiver.pausedUntilMs, run: arrive });
+    };
+    this.later(this.isHealed ? 50 : 1500, arrive);
+  }
+
+  /** A member that learns of its own eviction joins again under a new incarnation. */
+  private rejoinWhenEvicted(process: Process): void {
+    const { lease, self } = process;
+    const joinedAt = this.log.find(({ members }) => members.includes(self))!.epoch;
+    if (lease.epoch < joinedAt || lease.isMember(self)) return;
+    Object.assign(process, { isAlive: false });
+    this.start(self.vmId);
+  }
+
+  private checkSlots(): void {
+    const nowMs = this.clock.monotonicMs();
+    const users = new Map<string, string>();
+    for (const process of this.processes.filter((one) => isRunning(one, nowMs))) {
+      const { lease, rights, self } = process;
+      if (lease.isSettled()) rights.settle(lease.epoch);
+      if (!lease.isLeaseHeld()) continue;
+      for (const { instanceId } of INSTANCES) {
+        for (const slot of rights.usableSlots(instanceId)) {
+          const name = `${instanceId}/${slot}`;
+          const user = `${memberKey(self)} at epoch ${lease.epoch}`;
+          const other = users.get(name);
+          if (other) this.conflict ??= `${name} is used by ${other} and ${user} at ${nowMs} ms`;
+          users.set(name, user);
+          this.usableSlotSteps += 1;
+        }
+      }
+    }
+  }
+}
