--- a/packages/membership/src/utils.ts
+++ b/packages/membership/src/utils.ts
@@ -23,7 +23,7 @@
 
 /** The time that the given number of entries reach or exceed; -Infinity when there are fewer. */
 export const thatManyLatest = (timesMs: readonly number[], count: number): number =>
-  Float64Array.from(timesMs).sort().at(-count) ?? -Infinity;
+  Float64Array.from(timesMs).sort().reverse()[count - 1] ?? -Infinity;
 
 /** Sentence for the log about a member that has stopped. */
 export const formatGone = (member: MemberId, reason: GoneReason): string => {
--- a/packages/slots/src/assignSlots.ts
+++ b/packages/slots/src/assignSlots.ts
@@ -12,8 +12,10 @@
 
 /** State of one assignment: units are slots, numbered through all instances of a group. */
 interface Matching {
-  readonly unitHashes: Uint32Array;
-  readonly candidates: readonly Candidate[];
+  readonly unitCount: number;
+  readonly candidateCount: number;
+  /** One row of scores, one for each candidate, for each unit. */
+  readonly scores: Uint32Array;
 }
 
 interface Matched {
@@ -29,7 +31,7 @@
 };
 
 const scoreOf = (matching: Matching, unit: number, candidate: number): number =>
-  mixHashes(matching.unitHashes[unit]!, matching.candidates[candidate]!.hash);
+  matching.scores[unit * matching.candidateCount + candidate]!;
 
 /**
  * Best candidate ranked after a given one for a unit; EMPTY when there is none. The rank is the
@@ -39,7 +41,7 @@
   const limitScore = after === EMPTY ? Infinity : scoreOf(matching, unit, after);
   let best = EMPTY;
   let bestScore = -1;
-  for (let candidate = 0; candidate < matching.candidates.length; candidate++) {
+  for (let candidate = 0; candidate < matching.candidateCount; candidate++) {
     const score = scoreOf(matching, unit, candidate);
     const isAfter = score < limitScore || (score === limitScore && candidate > after);
     if (isAfter && score > bestScore) {
@@ -72,31 +74,33 @@
  * units.
  */
 const matchUnits = (matching: Matching, units: readonly number[], capacity: number): Matched => {
-  const kept: number[][] = matching.candidates.map(() => []);
-  const weakest: number[] = matching.candidates.map(() => EMPTY);
-  const lastChoice = new Map<number, number>();
+  const kept = Array.from({ length: matching.candidateCount }, (): number[] => []);
+  if (capacity === 0) return { kept, unmatched: units };
+  // Position in `kept` of the unit that a full candidate gives up next.
+  const weakest = new Int32Array(matching.candidateCount);
+  const lastChoice = new Int32Array(matching.unitCount).fill(EMPTY);
   const unmatched: number[] = [];
   const pending = [...units];
   while (pending.length > 0) {
     const unit = pending.pop()!;
-    const choice = nextChoice(matching, unit, lastChoice.get(unit) ?? EMPTY);
+    const choice = nextChoice(matching, unit, lastChoice[unit]!);
     if (choice === EMPTY) {
       unmatched.push(unit);
       continue;
     }
-    lastChoice.set(unit, choice);
+    lastChoice[unit] = choice;
     const own = kept[choice]!;
     if (own.length < capacity) {
       own.push(unit);
       if (own.length === capacity) weakest[choice] = weakestOf(matching, own, choice);
       continue;
     }
-    const displaced = own[weakest[choice]!] ?? unit;
+    const displaced = own[weakest[choice]!]!;
     const displacedScore = scoreOf(matching, displaced, choice);
     const unitScore = scoreOf(matching, unit, choice);
     const isBetter =
       unitScore > displacedScore || (unitScore === displacedScore && unit < displaced);
-    if (capacity === 0 || !isBetter) {
+    if (!isBetter) {
       pending.push(unit);
       continue;
     }
@@ -107,44 +111,47 @@
   return { kept, unmatched };
 };
 
-const assignGroup = (
+const createMatching = (
   candidates: readonly Candidate[],
   instances: readonly SlotInstance[],
-  holders: Map<string, readonly string[]>,
-): void => {
+): Matching => {
   const unitCount = instances.reduce((sum, instance) => sum + instance.slots, 0);
-  const unitHashes = new Uint32Array(unitCount);
-  let unit = 0;
+  const scores = new Uint32Array(unitCount * candidates.length);
+  let position = 0;
   for (const instance of instances) {
-    const hash = hashName(`${instance.service}/${instance.instanceId}`);
+    const instanceHash = hashName(`${instance.service}/${instance.instanceId}`);
     for (let slot = 0; slot < instance.slots; slot++) {
-      unitHashes[unit] = mixHashes(hash, slot + 1);
-      unit += 1;
+      const unitHash = mixHashes(instanceHash, slot + 1);
+      for (const { hash } of candidates) {
+        scores[position] = mixHashes(unitHash, hash);
+        position += 1;
+      }
     }
   }
-  const holderOf = new Int32Array(unitCount).fill(EMPTY);
-  const matching: Matching = { unitHashes, candidates };
-  const share = Math.floor(unitCount / candidates.length);
+  return { unitCount, candidateCount: candidates.length, scores };
+};
+
+/** Holders of each instance of a group, in the order of the instances. */
+const assignGroup = (
+  candidates: readonly Candidate[],
+  instances: readonly SlotInstance[],
+): readonly string[][] => {
+  const matching = createMatching(candidates, instances);
+  const units = Array.from({ length: matching.unitCount }, (_, unit) => unit);
   // First the equal shares, then at most one of the remaining units for each member.
-  const equal = matchUnits(
-    matching,
-    Array.from({ length: unitCount }, (_, index) => index),
-    share,
-  );
+  const share = Math.floor(matching.unitCount / candidates.length);
+  const equal = matchUnits(matching, units, share);
   const extra = matchUnits(matching, equal.unmatched, 1);
-  candidates.forEach((_, candidate) => {
-    for (const own of equal.kept[candidate]!) holderOf[own] = candidate;
-    for (const own of extra.kept[candidate]!) holderOf[own] = candidate;
+  const vmIds = new Array<string>(matching.unitCount);
+  candidates.forEach(({ vmId }, candidate) => {
+    for (const unit of equal.kept[candidate]!) vmIds[unit] = vmId;
+    for (const unit of extra.kept[candidate]!) vmIds[unit] = vmId;
+  });
+  let first = 0;
+  return instances.map(({ slots }) => {
+    first += slots;
+    return vmIds.slice(first - slots, first);
   });
-  unit = 0;
-  for (const instance of instances) {
-    const own: string[] = [];
-    for (let slot = 0; slot < instance.slots; slot++) {
-      own.push(candidates[holderOf[unit]!]!.vmId);
-      unit += 1;
-    }
-    holders.set(instance.instanceId, own);
-  }
 };
 
 const groupInstances = (
@@ -161,6 +168,68 @@
   return services;
 };
 
+interface CachedGroup {
+  readonly inputs: string;
+  readonly holders: readonly (readonly string[])[];
+}
+
+const describeInputs = (
+  candidates: readonly Candidate[],
+  instances: readonly SlotInstance[],
+): string => {
+  const members = candidates.map(({ vmId }) => vmId).join(' ');
+  return `${members}|${instances.map(({ instanceId, slots }) => `${instanceId}:${slots}`).join(' ')}`;
+};
+
+/**
+ * Computes slot assignments and keeps the result of each service and failure domain whose members
+ * and instances did not change, since most configuration changes concern a single service.
+ */
+export class SlotAssigner {
+  private constructor(private groups: Map<string, CachedGroup>) {}
+
+  /** Creates an assigner that knows no former result. */
+  static create(): SlotAssigner {
+    return new SlotAssigner(new Map());
+  }
+
+  /** The same result as assignSlots. */
+  assign(members: readonly SlotMember[], instances: readonly SlotInstance[]): SlotAssignment {
+    const assignment = new Map<string, readonly string[]>();
+    const everyone = [...members]
+      .sort((left, right) => byText(left.vmId, right.vmId))
+      .map(({ vmId, failureDomainId }) => ({ vmId, failureDomainId, hash: hashName(vmId) }));
+    const sorted = [...instances].sort((left, right) => byText(left.instanceId, right.instanceId));
+    const groups = new Map<string, CachedGroup>();
+    for (const [service, domains] of groupInstances(sorted)) {
+      for (const [failureDomainId, group] of domains) {
+        const local = everyone.filter((member) => member.failureDomainId === failureDomainId);
+        const candidates = local.length > 0 ? local : everyone;
+        const name = JSON.stringify([service, failureDomainId]);
+        const result = this.assignCached(name, candidates, group);
+        groups.set(name, result);
+        group.forEach((instance, index) =>
+          assignment.set(instance.instanceId, result.holders[index]!),
+        );
+      }
+    }
+    this.groups = groups;
+    return assignment;
+  }
+
+  private assignCached(
+    name: string,
+    candidates: readonly Candidate[],
+    instances: readonly SlotInstance[],
+  ): CachedGroup {
+    const inputs = describeInputs(candidates, instances);
+    const known = this.groups.get(name);
+    if (known?.inputs === inputs) return known;
+    if (candidates.length === 0) return { inputs, holders: instances.map(() => []) };
+    return { inputs, holders: assignGroup(candidates, instances) };
+  }
+}
+
 /**
  * Assigns every slot one holder by rendezvous hashing with bounded load: among the members of the
  * instance's failure domain, or among all members when it has none. Within a service and failure
@@ -175,21 +244,4 @@
 export const assignSlots = (
   members: readonly SlotMember[],
   instances: readonly SlotInstance[],
-): SlotAssignment => {
-  const holders = new Map<string, readonly string[]>();
-  const everyone = [...members]
-    .sort((left, right) => byText(left.vmId, right.vmId))
-    .map(({ vmId, failureDomainId }) => ({ vmId, failureDomainId, hash: hashName(vmId) }));
-  const sorted = [...instances].sort((left, right) => byText(left.instanceId, right.instanceId));
-  if (everyone.length === 0) {
-    for (const instance of sorted) holders.set(instance.instanceId, []);
-    return holders;
-  }
-  for (const domains of groupInstances(sorted).values()) {
-    for (const [failureDomainId, group] of domains) {
-      const local = everyone.filter((member) => member.failureDomainId === failureDomainId);
-      assignGroup(local.length > 0 ? local : everyone, group, holders);
-    }
-  }
-  return holders;
-};
+): SlotAssignment => SlotAssigner.create().assign(members, instances);
--- a/packages/slots/src/constants.ts
+++ b/packages/slots/src/constants.ts
@@ -10,6 +10,9 @@
  */
 export const OBSERVATION_MARGIN_MS = 1000;
 
+/** Messages about a cold instance that differ by less than this concern the same event. */
+export const PEER_COLD_TOLERANCE_MS = 100;
+
 /** A response slower than this multiple of the usual latency counts as slow. */
 export const SLOW_FACTOR = 3;
 
--- a/packages/slots/src/types.ts
+++ b/packages/slots/src/types.ts
@@ -36,6 +36,8 @@
 export interface InstanceResponse {
   /** Milliseconds from the send to the complete response. */
   readonly latencyMs: number;
+  /** True for a load probe: it proves which process answers, but says nothing about work. */
+  readonly isProbe?: boolean;
   /** Value of `x-boot-id`, when present. */
   readonly bootId?: string;
   /** True when the instance reported that it is cold. */
@@ -44,6 +46,9 @@
   readonly isOverloadRefusal?: boolean;
 }
 
+/** How the latency of a response compares with the usual one. */
+export type Pace = 'normal' | 'slow' | 'slow-series';
+
 /** What the owner of an instance reports in heartbeats. */
 export interface OwnerReport {
   readonly allowance: number;
