Add the admission queue, bounded by deadline and by orders before lookups

Cause: a burst must not queue requests that cannot be served in time, and a caller told not-run must be able to rely on it. Change: decideAdmission is pure; a two-lane queue class starts one lookup after eight orders; waiting requests leave the lanes directly when their caller goes away, their deadline passes or orders displace them. No usable slots means a paused queue; a gap of up to 250 ms without slots does not refuse.

--- /dev/null
+++ b/packages/admission/src/admissionQueue.ts
@@ -0,0 +1,235 @@
+import { assertNever } from '@bronzelift/common';
+
+import { AdmissionEntry } from './admissionEntry.js';
+import type { EntryOwner } from './admissionEntry.js';
+import {
+  DEFAULT_MAX_QUEUED,
+  DEFAULT_SERVICE_TIME_MS,
+  DISPLACEMENT_CHECKS_PER_ORDER,
+  MIN_EXPIRY_INTERVAL_MS,
+} from './constants.js';
+import { createLanes } from './createLanes.js';
+import { decideAdmission, isLookupHopeless, predictWait } from './decideAdmission.js';
+import { LanePriority } from './laneQueue.js';
+import type {
+  AdmissionOptions,
+  AdmissionRequest,
+  AdmissionResult,
+  AdmissionStats,
+  AdmissionView,
+  RefusalCode,
+  ScheduleTimer,
+} from './types.js';
+import { calculateRetryAfterMs, scheduleTimeout, updateMean } from './utils.js';
+import { WaitingLists } from './waitingLists.js';
+
+/** Queue of one service for the slots that this entry VM may use; bounded by deadline. */
+export class AdmissionQueue {
+  private readonly queue;
+
+  private readonly waiting: WaitingLists;
+
+  private readonly schedule: ScheduleTimer;
+
+  private readonly owner: EntryOwner;
+
+  private meanServiceTimeMs: number;
+
+  private usableSlots = 0;
+
+  private lastUsableSlots = 0;
+
+  private slotsLostAtMs = -Infinity;
+
+  /** Time that the slots need for all recently refused requests. */
+  private refusedWorkMs = 0;
+
+  private refusedWorkAtMs = 0;
+
+  private lastId = 0;
+
+  private expiry: { readonly atMs: number; readonly cancel: () => void } | undefined;
+
+  private constructor(private readonly options: AdmissionOptions) {
+    const { queue, lanes } = createLanes();
+    this.queue = queue;
+    this.waiting = WaitingLists.create(options.maxQueued ?? DEFAULT_MAX_QUEUED);
+    this.schedule = options.schedule ?? scheduleTimeout;
+    this.meanServiceTimeMs = options.initialServiceTimeMs ?? DEFAULT_SERVICE_TIME_MS;
+    this.owner = {
+      now: () => options.clock.monotonicMs(),
+      createRetryAfterMs: (predictedWaitMs) => this.createRetryAfterMs(predictedWaitMs),
+      onLeave: (entry, hasStarted) => {
+        this.waiting.delete(entry);
+        if (!hasStarted) lanes.remove(entry.id);
+      },
+      onViolation: options.onViolation,
+    };
+  }
+
+  /** Creates a queue without usable slots. */
+  static create(options: AdmissionOptions): AdmissionQueue {
+    return new AdmissionQueue(options);
+  }
+
+  /** Sets the slots usable now. Running tasks go on; fewer slots only delay the next starts. */
+  setUsableSlots(count: number): void {
+    if (count === this.usableSlots) return;
+    if (count === 0) {
+      this.slotsLostAtMs = this.owner.now();
+      this.lastUsableSlots = this.usableSlots;
+      this.usableSlots = 0;
+      // p-queue's concurrency is at least 1, so that no slots means a paused queue.
+      this.queue.pause();
+      return;
+    }
+    this.usableSlots = count;
+    this.queue.concurrency = count;
+    this.queue.start();
+  }
+
+  /** Runs a task in a slot, now or later, or answers that it was not run. Never rejects. */
+  admit<T>(request: AdmissionRequest, task: () => Promise<T>): Promise<AdmissionResult<T>> {
+    return new Promise((resolve) => {
+      this.lastId += 1;
+      const entry = AdmissionEntry.create(String(this.lastId), request, this.owner, resolve);
+      const run = (): Promise<void> => this.run(entry, task, resolve);
+      if (request.signal?.aborted) {
+        entry.refuse('cancelled', 0);
+        return;
+      }
+      const decision = decideAdmission(this.view(), request);
+      switch (decision.kind) {
+        case 'refuse':
+          entry.refuse(decision.code, decision.predictedWaitMs);
+          return;
+        case 'start':
+          this.enqueue(entry, run);
+          return;
+        case 'displace-lookup':
+          this.waiting.newestLookup()?.refuse('displaced', decision.predictedWaitMs);
+          this.wait(entry, run, request.signal);
+          return;
+        case 'wait':
+          this.wait(entry, run, request.signal);
+          return;
+        default:
+          assertNever(decision);
+      }
+    });
+  }
+
+  /** Answers all waiting requests as not run, for example when the process stops. */
+  refuseWaiting(code: RefusalCode): void {
+    const predictedWaitMs = predictWait(this.view(), false);
+    for (const entry of this.waiting.all()) entry.refuse(code, predictedWaitMs);
+  }
+
+  /** Counts for the status page. */
+  stats(): AdmissionStats {
+    const view = this.view();
+    return {
+      usableSlots: view.usableSlots,
+      running: view.running,
+      queuedOrders: view.queuedOrders,
+      queuedLookups: view.queuedLookups,
+      meanServiceTimeMs: view.meanServiceTimeMs,
+      predictedWaitMs: predictWait(view, false),
+    };
+  }
+
+  private wait(
+    entry: AdmissionEntry,
+    run: () => Promise<void>,
+    callerSignal: AbortSignal | undefined,
+  ): void {
+    this.waiting.add(entry);
+    if (callerSignal !== undefined) entry.watchCaller(callerSignal);
+    this.enqueue(entry, run);
+    this.armExpiry(entry.deadlineAtMs);
+    if (entry.isOrder) this.displaceHopelessLookups();
+  }
+
+  private enqueue(entry: AdmissionEntry, run: () => Promise<void>): void {
+    const priority = entry.isOrder ? LanePriority.order : LanePriority.lookup;
+    // The promise of `run` never rejects: it answers the request itself.
+    this.queue.add(run, { id: entry.id, priority });
+  }
+
+  private async run<T>(
+    entry: AdmissionEntry,
+    task: () => Promise<T>,
+    resolve: (result: AdmissionResult<T>) => void,
+  ): Promise<void> {
+    const startedAtMs = this.owner.now();
+    if (startedAtMs >= entry.deadlineAtMs) {
+      entry.refuse('deadline-exceeded', 0);
+      return;
+    }
+    entry.start();
+    const waitedMs = startedAtMs - entry.arrivedAtMs;
+    try {
+      resolve({ kind: 'completed', value: await task(), waitedMs });
+    } catch (error) {
+      resolve({ kind: 'failed', error, waitedMs });
+    }
+    this.meanServiceTimeMs = updateMean(this.meanServiceTimeMs, this.owner.now() - startedAtMs);
+  }
+
+  /** Orders that joined can make lookups too late; these learn it now, not at their deadline. */
+  private displaceHopelessLookups(): void {
+    for (let checked = 0; checked < DISPLACEMENT_CHECKS_PER_ORDER; checked++) {
+      const newest = this.waiting.newestLookup();
+      const view = this.view();
+      if (newest === undefined || !isLookupHopeless(view, newest.deadlineAtMs)) return;
+      newest.refuse('displaced', predictWait(view, false));
+    }
+  }
+
+  private armExpiry(deadlineAtMs: number): void {
+    if (this.expiry !== undefined && this.expiry.atMs <= deadlineAtMs) return;
+    this.expiry?.cancel();
+    const remainingMs = Math.ceil(deadlineAtMs - this.owner.now());
+    const cancel = this.schedule(Math.max(remainingMs, MIN_EXPIRY_INTERVAL_MS), () => {
+      this.expiry = undefined;
+      this.refuseExpired();
+    });
+    this.expiry = { atMs: deadlineAtMs, cancel };
+  }
+
+  private refuseExpired(): void {
+    const nowMs = this.owner.now();
+    let nextDeadlineAtMs = Infinity;
+    for (const entry of this.waiting.all()) {
+      if (entry.deadlineAtMs <= nowMs) entry.refuse('deadline-exceeded', 0);
+      else nextDeadlineAtMs = Math.min(nextDeadlineAtMs, entry.deadlineAtMs);
+    }
+    if (nextDeadlineAtMs < Infinity) this.armExpiry(nextDeadlineAtMs);
+  }
+
+  /** Retry-after of a refusal; counts the refused request as work that will come back. */
+  private createRetryAfterMs(predictedWaitMs: number): number {
+    const nowMs = this.owner.now();
+    const elapsedMs = nowMs - this.refusedWorkAtMs;
+    const addedMs = this.meanServiceTimeMs / Math.max(this.usableSlots, 1);
+    this.refusedWorkMs = Math.max(this.refusedWorkMs - elapsedMs, 0) + addedMs;
+    this.refusedWorkAtMs = nowMs;
+    return calculateRetryAfterMs(predictedWaitMs, this.refusedWorkMs, this.options.random);
+  }
+
+  private view(): AdmissionView {
+    const hasSlots = this.usableSlots > 0;
+    const nowMs = this.owner.now();
+    return {
+      nowMs,
+      usableSlots: this.usableSlots,
+      lastUsableSlots: hasSlots ? this.usableSlots : this.lastUsableSlots,
+      withoutSlotsForMs: hasSlots ? 0 : nowMs - this.slotsLostAtMs,
+      running: this.queue.pending,
+      queuedOrders: this.waiting.orderCount,
+      queuedLookups: this.waiting.lookupCount,
+      meanServiceTimeMs: this.meanServiceTimeMs,
+      maxQueued: this.waiting.maxQueued,
+    };
+  }
+}
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,5 @@
+export * from './admissionQueue.js';
+export * from './constants.js';
+export { decideAdmission, predictWait } from './decideAdmission.js';
 export type * from './types.js';
+export { calculateRetryAfterMs } from './utils.js';
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -24,6 +24,8 @@
   | {
       readonly kind: 'not-run';
       readonly code: RefusalCode;
+      /** Infinity without slots; 0 when the wait was not the reason. */
+      readonly predictedWaitMs: number;
       readonly retryAfterMs: number;
       readonly waitedMs: number;
     };
