Add routing decisions: instance, retry, hedge, forwarding and deadline

Cause: an instance can slow down or fail within milliseconds, and a sent order must never be sent again without proof that it did not run. Change: two random choices by expected latency (moving average, age of the oldest attempt in flight, used share of slots); ejection of slow and failing instances, at most a third, readmitted by single trial lookups; budgets for retries and hedges; choice of a peer by reported slots less what was sent; decideRetry over all attempt outcomes; deadlines bounded by the lease. Found by the tests: with two instances the upper median made the slow one the norm, so it was never measured again; the lower median, a fading excess and a cost tolerance of 5% replace it.

--- /dev/null
+++ b/packages/routing/src/constants.ts
@@ -0,0 +1,91 @@
+import type { FailureKind } from './types.js';
+
+/** Weight of the latest response in an instance's latency; a slowdown shows in two or three. */
+export const LATENCY_WEIGHT = 0.3;
+
+/**
+ * Without responses an instance's excess over the median fades with this time constant; otherwise
+ * an instance that was slow once would never be chosen again and never be measured again.
+ */
+export const LATENCY_DECAY_MS = 1_000;
+
+/** Costs that differ by less are equal, so that both instances keep being measured. */
+export const COST_TOLERANCE = 0.05;
+
+/** A failure doubles the cost of an instance; the factor halves after this time. */
+export const FAILURE_DECAY_MS = 200;
+export const MAX_FAILURE_DOUBLINGS = 6;
+
+/** Responses before an instance's latency is compared with the others. */
+export const MIN_LATENCY_SAMPLES = 3;
+
+/** An instance this many times slower than the median of its service is ejected. */
+export const SLOW_FACTOR = 3;
+
+/** Slow responses in a row until ejection, so that one slow request ejects nothing. */
+export const MIN_SLOW_IN_ROW = 2;
+
+/** Differences below this are noise of scheduling, whatever the factor. */
+export const SLOW_MARGIN_MS = 5;
+
+/** At most one in this many instances of a service is ejected. */
+export const EJECTED_SHARE_DIVISOR = 3;
+
+/** The median over a service is calculated again after this time. */
+export const MEDIAN_MAX_AGE_MS = 5;
+
+/** Time until the first trial request after an ejection; doubles with each failed trial. */
+export const BASE_EJECTION_MS = 200;
+export const MAX_EJECTION_MS = 10_000;
+
+/** Ejection intervals vary by this share, so that entry VMs do not send trials together. */
+export const EJECTION_JITTER = 0.3;
+
+/** After this time without an ejection the interval starts at its base again. */
+export const EJECTION_MEMORY_MS = 30_000;
+
+/** A trial without an end counts as abandoned after this time. */
+export const TRIAL_TIMEOUT_MS = 5_000;
+
+/** Latency assumed before any instance of a service has answered. */
+export const DEFAULT_LATENCY_MS = 5;
+
+/**
+ * Consecutive failures until ejection. A failed connect and a mismatched response need no second
+ * case; server errors can come from one kind of request only; a refusal is an orderly answer.
+ */
+export const FAILURES_UNTIL_EJECTION: Readonly<Record<FailureKind, number>> = {
+  'connect-failed': 1,
+  mismatched: 1,
+  timeout: 2,
+  reset: 2,
+  'cut-short': 2,
+  refused: 4,
+  'server-error': 5,
+};
+
+/** Retries as a share of requests, and how many may follow each other at once. */
+export const RETRY_RATIO = 0.1;
+export const RETRY_BURST = 10;
+
+/** Hedged requests as a share of requests, and how many may follow each other at once. */
+export const HEDGE_RATIO = 0.02;
+export const HEDGE_BURST = 5;
+
+/** A hedge is sent after this percentile of the service's recent latency. */
+export const HEDGE_PERCENTILE = 95;
+
+/** Responses needed before a percentile means anything. */
+export const HEDGE_MIN_SAMPLES = 20;
+
+/** Latencies older than one to two windows are forgotten. */
+export const QUANTILE_WINDOW_MS = 10_000;
+
+/** The percentile is calculated again after this time; a calculation visits the whole histogram. */
+export const QUANTILE_MAX_AGE_MS = 100;
+
+/** A peer's report loses its weight in a straight line over this time; heartbeats take 500 ms. */
+export const REPORT_LIFETIME_MS = 2_000;
+
+/** Part of the remaining time kept back for each further hop, to carry the response. */
+export const HOP_MARGIN_MS = 3;
--- /dev/null
+++ b/packages/routing/src/instanceSelector.ts
@@ -0,0 +1,244 @@
+import { assertNever } from '@bronzelift/common';
+import type { Clock, InstanceId, RandomSource } from '@bronzelift/common';
+
+import {
+  COST_TOLERANCE,
+  DEFAULT_LATENCY_MS,
+  EJECTED_SHARE_DIVISOR,
+  EJECTION_JITTER,
+  FAILURES_UNTIL_EJECTION,
+  MEDIAN_MAX_AGE_MS,
+  MIN_LATENCY_SAMPLES,
+  MIN_SLOW_IN_ROW,
+  SLOW_FACTOR,
+  SLOW_MARGIN_MS,
+  TRIAL_TIMEOUT_MS,
+} from './constants.js';
+import { InstanceState } from './instanceState.js';
+import type {
+  AttemptHandle,
+  AttemptObservation,
+  Candidate,
+  EjectionChange,
+  FailureKind,
+  InstanceStanding,
+  SelectOptions,
+  Selection,
+} from './types.js';
+import { calculateMedian, pickByTwoChoices } from './utils.js';
+
+/** Parameters of the choice of instance of one service. */
+export interface InstanceSelectorOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly onEjectionChange?: (change: EjectionChange) => void;
+}
+
+/** Chooses the instance of one service that is expected to answer first. */
+export class InstanceSelector {
+  private readonly states = new Map<InstanceId, InstanceState>();
+
+  private median: { readonly atMs: number; readonly valueMs: number | undefined } | undefined;
+
+  private constructor(private readonly options: InstanceSelectorOptions) {}
+
+  /** Creates a selector without instances. */
+  static create(options: InstanceSelectorOptions): InstanceSelector {
+    return new InstanceSelector(options);
+  }
+
+  /** Sets the instances of the service, in all failure domains. */
+  setInstances(instanceIds: readonly InstanceId[]): void {
+    const listed = new Set(instanceIds);
+    for (const known of this.states.keys()) if (!listed.has(known)) this.states.delete(known);
+    for (const added of listed) {
+      if (!this.states.has(added)) this.states.set(added, InstanceState.create(added));
+    }
+    this.median = undefined;
+    this.readmitAboveLimit();
+  }
+
+  /** Forgets an instance's latency and failures, for example when its process has restarted. */
+  resetInstance(instanceId: InstanceId): void {
+    this.states.get(instanceId)?.reset();
+  }
+
+  /** Whether requests are sent to an instance; false while it is ejected. */
+  isUsable(instanceId: InstanceId): boolean {
+    const state = this.states.get(instanceId);
+    return state !== undefined && state.ejection === undefined;
+  }
+
+  /** Chooses among instances with free slots; undefined when none may be used. */
+  select(candidates: readonly Candidate[], options: SelectOptions): Selection | undefined {
+    const free = candidates.filter(
+      ({ instanceId, freeSlots }) =>
+        freeSlots > 0 && this.states.has(instanceId) && !options.excluded?.has(instanceId),
+    );
+    const trial = options.isOrder ? undefined : this.findTrial(free);
+    if (trial !== undefined) return this.describe(trial, 'trial');
+    const usable = free.filter(({ instanceId }) => this.isUsable(instanceId));
+    const chosen = this.pick(usable);
+    if (chosen !== undefined) {
+      return this.describe(chosen, usable.length === 1 ? 'only-candidate' : 'lower-cost');
+    }
+    const ejected = options.isLastResort ? this.pick(free) : undefined;
+    return ejected && this.describe(ejected, 'last-resort');
+  }
+
+  /** Notes that an attempt at the chosen instance begins. */
+  begin(selection: Pick<Selection, 'instanceId' | 'isTrial'>): AttemptHandle {
+    const { instanceId, isTrial } = selection;
+    const state = this.states.get(instanceId);
+    if (state === undefined) return { instanceId, end: () => {} };
+    const start = state.begin(this.now());
+    const trialOf = isTrial ? state.ejection : undefined;
+    if (trialOf !== undefined) trialOf.trialStartedAtMs = this.now();
+    const end = (observation: AttemptObservation): void => {
+      if (state.end(start) === undefined) return;
+      const isTrialOver = trialOf !== undefined && state.ejection === trialOf;
+      if (isTrialOver) trialOf.trialStartedAtMs = undefined;
+      // An instance that was removed, or removed and listed again, has another state by now.
+      if (this.states.get(instanceId) === state) this.observe(state, observation, isTrialOver);
+    };
+    return { instanceId, end };
+  }
+
+  /** State of all instances for the status page. */
+  standings(): InstanceStanding[] {
+    return [...this.states.values()].map((state) => ({
+      instanceId: state.instanceId,
+      latencyMs: state.latencyMs ?? 0,
+      inFlight: state.inFlight,
+      isEjected: state.ejection !== undefined,
+      consecutiveFailures: state.consecutiveFailures,
+    }));
+  }
+
+  /** Median latency of the service's instances; undefined before the first response. */
+  medianLatencyMs(): number | undefined {
+    const nowMs = this.now();
+    if (this.median === undefined || nowMs - this.median.atMs >= MEDIAN_MAX_AGE_MS) {
+      const latenciesMs = [...this.states.values()].flatMap(({ latencyMs }) => latencyMs ?? []);
+      this.median = { atMs: nowMs, valueMs: calculateMedian(latenciesMs) };
+    }
+    return this.median.valueMs;
+  }
+
+  private observe(
+    state: InstanceState,
+    observation: AttemptObservation,
+    isTrialOver: boolean,
+  ): void {
+    switch (observation.kind) {
+      case 'answered':
+        this.observeAnswer(state, observation.latencyMs, isTrialOver);
+        return;
+      case 'failed':
+        this.observeFailure(state, observation.failure, isTrialOver);
+        return;
+      case 'abandoned':
+        return;
+      default:
+        assertNever(observation);
+    }
+  }
+
+  private observeAnswer(state: InstanceState, latencyMs: number, isTrialOver: boolean): void {
+    // The latency of before the ejection would eject the instance again at once.
+    if (isTrialOver) state.reset();
+    state.addAnswer(latencyMs, this.now(), this.isSlow(latencyMs));
+    const { samples, slowInRow } = state;
+    const isKnown = samples >= MIN_LATENCY_SAMPLES && slowInRow >= MIN_SLOW_IN_ROW;
+    if ((isTrialOver || isKnown) && this.isSlow(state.latencyMs!)) this.eject(state, 'slow');
+    else if (isTrialOver) this.readmit(state, 'trial-succeeded');
+  }
+
+  private observeFailure(state: InstanceState, failure: FailureKind, isTrialOver: boolean): void {
+    state.addFailure(this.now());
+    const isEnough = state.consecutiveFailures >= FAILURES_UNTIL_EJECTION[failure];
+    if (isTrialOver || isEnough) this.eject(state, failure);
+  }
+
+  private isSlow(latencyMs: number): boolean {
+    const medianMs = this.medianLatencyMs();
+    if (medianMs === undefined) return false;
+    return latencyMs > medianMs * SLOW_FACTOR && latencyMs > medianMs + SLOW_MARGIN_MS;
+  }
+
+  private eject(state: InstanceState, reason: FailureKind | 'slow'): void {
+    const nowMs = this.now();
+    const isTrialOver = state.ejection !== undefined && state.ejection.trialAtMs <= nowMs;
+    if (state.ejection !== undefined && !isTrialOver) return;
+    if (state.ejection === undefined && this.countEjected() >= this.maxEjected()) return;
+    const jitter = 1 + EJECTION_JITTER * (2 * this.options.random.next() - 1);
+    const intervalMs = state.eject(nowMs, jitter);
+    this.options.onEjectionChange?.({
+      instanceId: state.instanceId,
+      change: 'ejected',
+      reason,
+      intervalMs,
+    });
+  }
+
+  private readmit(state: InstanceState, reason: 'trial-succeeded' | 'limit'): void {
+    state.readmit();
+    const { instanceId } = state;
+    this.options.onEjectionChange?.({ instanceId, change: 'readmitted', reason, intervalMs: 0 });
+  }
+
+  /** A service that has become smaller may have too many ejected instances. */
+  private readmitAboveLimit(): void {
+    for (const state of this.states.values()) {
+      if (this.countEjected() <= this.maxEjected()) return;
+      if (state.ejection !== undefined) this.readmit(state, 'limit');
+    }
+  }
+
+  private countEjected(): number {
+    let ejected = 0;
+    for (const state of this.states.values()) if (state.ejection !== undefined) ejected += 1;
+    return ejected;
+  }
+
+  private maxEjected(): number {
+    return Math.floor(this.states.size / EJECTED_SHARE_DIVISOR);
+  }
+
+  private findTrial(free: readonly Candidate[]): Candidate | undefined {
+    const nowMs = this.now();
+    return free.find(({ instanceId }) => {
+      const ejection = this.states.get(instanceId)?.ejection;
+      if (ejection === undefined || ejection.trialAtMs > nowMs) return false;
+      const { trialStartedAtMs } = ejection;
+      return trialStartedAtMs === undefined || nowMs - trialStartedAtMs >= TRIAL_TIMEOUT_MS;
+    });
+  }
+
+  private pick(candidates: readonly Candidate[]): Candidate | undefined {
+    const isBetter = (candidate: Candidate, other: Candidate): boolean =>
+      this.calculateCost(candidate) < this.calculateCost(other) * (1 - COST_TOLERANCE);
+    return pickByTwoChoices(this.options.random, candidates, isBetter);
+  }
+
+  private calculateCost({ instanceId, freeSlots }: Candidate): number {
+    const state = this.states.get(instanceId)!;
+    const usedShare = state.inFlight / (state.inFlight + freeSlots);
+    const failureFactor = state.failureFactor(this.now());
+    return this.expectedLatencyMs(instanceId) * (1 + usedShare) * failureFactor;
+  }
+
+  private expectedLatencyMs(instanceId: InstanceId): number {
+    const usualMs = this.medianLatencyMs() ?? DEFAULT_LATENCY_MS;
+    return this.states.get(instanceId)!.expectedLatencyMs(this.now(), usualMs);
+  }
+
+  private describe({ instanceId }: Candidate, reason: Selection['reason']): Selection {
+    const expectedLatencyMs = this.expectedLatencyMs(instanceId);
+    return { instanceId, expectedLatencyMs, isTrial: reason === 'trial', reason };
+  }
+
+  private now(): number {
+    return this.options.clock.monotonicMs();
+  }
+}
--- /dev/null
+++ b/packages/routing/src/latencyQuantile.ts
@@ -0,0 +1,87 @@
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+
+import type { Clock } from '@bronzelift/common';
+
+import { QUANTILE_MAX_AGE_MS, QUANTILE_WINDOW_MS } from './constants.js';
+
+const UNITS_PER_MS = 100;
+const MAX_MS = 60_000;
+
+const buildWindow = (): Histogram =>
+  build({
+    bitBucketSize: 32,
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: MAX_MS * UNITS_PER_MS,
+    numberOfSignificantValueDigits: 2,
+  });
+
+/** Percentile of the latencies of the last one to two windows. */
+export class LatencyQuantile {
+  private current = buildWindow();
+
+  private previous = buildWindow();
+
+  private windowStartedAtMs: number;
+
+  private cached: { readonly atMs: number; readonly valueMs: number } | undefined;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly percentile: number,
+  ) {
+    this.windowStartedAtMs = clock.monotonicMs();
+  }
+
+  /** Creates an estimate of a percentile, for example 95. */
+  static create(clock: Clock, percentile: number): LatencyQuantile {
+    return new LatencyQuantile(clock, percentile);
+  }
+
+  /** Responses in the windows. */
+  get count(): number {
+    this.rotate();
+    return this.current.totalCount + this.previous.totalCount;
+  }
+
+  /** Counts a latency. */
+  add(latencyMs: number): void {
+    this.rotate();
+    const boundedMs = latencyMs > 0 ? Math.min(latencyMs, MAX_MS) : 0;
+    this.current.recordValue(Math.round(boundedMs * UNITS_PER_MS));
+  }
+
+  /** The percentile in milliseconds, at most QUANTILE_MAX_AGE_MS old; 0 without responses. */
+  valueMs(): number {
+    const nowMs = this.clock.monotonicMs();
+    if (this.cached === undefined || nowMs - this.cached.atMs >= QUANTILE_MAX_AGE_MS) {
+      this.cached = { atMs: nowMs, valueMs: this.calculateMs() };
+    }
+    return this.cached.valueMs;
+  }
+
+  private calculateMs(): number {
+    this.rotate();
+    // A young window has too few responses, an old one alone would hide a change.
+    const ofCurrent = this.current.getValueAtPercentile(this.percentile);
+    const ofPrevious = this.previous.getValueAtPercentile(this.percentile);
+    const currentCount = this.current.totalCount;
+    const total = currentCount + this.previous.totalCount;
+    if (total === 0) return 0;
+    const weight = currentCount / total;
+    return (ofCurrent * weight + ofPrevious * (1 - weight)) / UNITS_PER_MS;
+  }
+
+  private rotate(): void {
+    const nowMs = this.clock.monotonicMs();
+    const elapsedMs = nowMs - this.windowStartedAtMs;
+    if (elapsedMs < QUANTILE_WINDOW_MS) return;
+    const emptied = this.previous;
+    emptied.reset();
+    this.previous = this.current;
+    this.current = emptied;
+    if (elapsedMs >= 2 * QUANTILE_WINDOW_MS) this.previous.reset();
+    this.windowStartedAtMs = nowMs;
+    this.cached = undefined;
+  }
+}
--- /dev/null
+++ b/packages/routing/tests/forwardSelector.test.ts
@@ -0,0 +1,97 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { ManualClock, SeededRandom } from '@bronzelift/common';
+
+import { ForwardSelector } from '../src/index.js';
+
+const seedOption = process.env.SEED === undefined ? {} : { seed: Number(process.env.SEED) };
+
+const createSelector = (domains: readonly string[], seed = 1) => {
+  const clock = ManualClock.create();
+  const random = SeededRandom.create(seed);
+  const selector = ForwardSelector.create({ clock, random, ownDomainId: 'a' });
+  selector.setPeers(domains.map((failureDomainId, n) => ({ vmId: `vm${n}`, failureDomainId })));
+  return { clock, selector };
+};
+
+const none: ReadonlySet<string> = new Set();
+
+describe('ForwardSelector', () => {
+  it('never picks an excluded peer, nor one that has just reported no free slots', () => {
+    const peer = fc.record({
+      domain: fc.constantFrom('a', 'b', 'c'),
+      freeSlots: fc.option(fc.nat(3)),
+      sent: fc.nat(3),
+      ageMs: fc.constantFrom(0, 500, 3000),
+      isExcluded: fc.boolean(),
+    });
+    const property = fc.property(fc.array(peer), fc.nat(), (peers, seed) => {
+      const { clock, selector } = createSelector(
+        peers.map(({ domain }) => domain),
+        seed,
+      );
+      for (const ageMs of [3000, 500, 0]) {
+        peers.forEach(({ freeSlots, ageMs: peerAgeMs }, n) => {
+          if (peerAgeMs === ageMs && freeSlots !== null) selector.report(`vm${n}`, freeSlots);
+        });
+        clock.advance(ageMs === 3000 ? 2500 : ageMs);
+      }
+      peers.forEach(({ sent }, n) => {
+        for (let k = 0; k < sent; k++) selector.addForwarded(`vm${n}`);
+      });
+      const excluded = new Set(
+        peers.flatMap(({ isExcluded }, n) => (isExcluded ? [`vm${n}`] : [])),
+      );
+      const isFresh = ({ freeSlots, ageMs }: (typeof peers)[number]) =>
+        freeSlots !== null && ageMs < 3000;
+      const hasFree = (candidate: (typeof peers)[number]) =>
+        isFresh(candidate) && !candidate.isExcluded && candidate.freeSlots! > candidate.sent;
+      const selection = selector.select(excluded);
+      if (selection === undefined) {
+        expect(
+          peers.every((other) => other.isExcluded || (isFresh(other) && !hasFree(other))),
+        ).to.equal(true);
+        return;
+      }
+      const chosen = peers[Number(selection.vmId.slice(2))]!;
+      expect(chosen.isExcluded, 'excluded').to.equal(false);
+      expect(hasFree(chosen) || !isFresh(chosen), 'known to be busy').to.equal(true);
+      if (peers.some(hasFree)) expect(hasFree(chosen), 'guess before a report').to.equal(true);
+      const isNearFree = peers.some((other) => hasFree(other) && other.domain === 'a');
+      if (isNearFree) expect(chosen.domain, 'same domain first').to.equal('a');
+    });
+    fc.assert(property, { numRuns: 1000, ...seedOption });
+  });
+
+  it('counts what was sent since the report, so that a burst does not overload one peer', () => {
+    const { selector } = createSelector(['a', 'a']);
+    selector.report('vm0', 6);
+    selector.report('vm1', 3);
+    const picks = { vm0: 0, vm1: 0 };
+    for (;;) {
+      const selection = selector.select(none);
+      if (selection === undefined) break;
+      picks[selection.vmId as 'vm0' | 'vm1'] += 1;
+      selector.addForwarded(selection.vmId);
+    }
+    expect(picks).to.deep.equal({ vm0: 6, vm1: 3 });
+  });
+
+  it('gives an old report less weight, so that a recent one is preferred', () => {
+    const { clock, selector } = createSelector(['a', 'a']);
+    selector.report('vm0', 6);
+    clock.advance(1800);
+    selector.report('vm1', 3);
+    expect(selector.select(none)).to.deep.include({ vmId: 'vm1', estimatedFreeSlots: 3 });
+  });
+
+  it('keeps reports when the list of peers changes, and forgets peers that left', () => {
+    const { selector } = createSelector(['a', 'b']);
+    selector.report('vm1', 2);
+    selector.setPeers([{ vmId: 'vm1', failureDomainId: 'b' }]);
+    expect(selector.select(none)).to.deep.include({ vmId: 'vm1', reason: 'other-domain' });
+    selector.report('vm0', 5);
+    expect(selector.select(new Set(['vm1']))).to.equal(undefined);
+  });
+});
