--- a/packages/controlLog/src/index.ts
+++ b/packages/controlLog/src/index.ts
@@ -1,6 +1,7 @@
 export { decodeRecord, encodeRecord, encodeState } from './codec.js';
 export { INITIAL_STATE } from './constants.js';
 export * from './fold.js';
+export * from './httpExchange.js';
 export { createSnapshot, createUnboundSnapshot, decodeState, mergeState } from './state.js';
 export * from './logClient.js';
 export * from './logFollower.js';
