Add the HTTP transport and request handlers of order messages

Forwarded orders use connections of their own, so that waiting orders never delay a claim, and count as answered only when the whole response arrived.

--- a/packages/orders/src/constants.ts
+++ b/packages/orders/src/constants.ts
@@ -69,3 +69,40 @@
 
 /** An attempt may end this much after the deadline of a waiting request before that gives up. */
 export const DEADLINE_GRACE_MS = 20;
+
+/** A claim, release or similar message without a response is given up after this time. */
+export const CALL_TIMEOUT_MS = 300;
+
+/** A connection to another entry VM that is not established within this time is given up. */
+export const CONNECT_TIMEOUT_MS = 500;
+
+/** Connections to one peer for claims and similar messages, and for forwarded orders. */
+export const MAX_CALL_SOCKETS = 32;
+export const MAX_FORWARD_SOCKETS = 512;
+
+/** Largest message between members: 64 completions of 16 KiB with their headers. */
+export const MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
+
+/** Largest body of a forwarded order. */
+export const MAX_ORDER_BODY_BYTES = 1024 * 1024;
+
+/** Paths of the messages between members. */
+export const PeerPath = {
+  claims: '/peer/v1/claims',
+  takeovers: '/peer/v1/takeovers',
+  releases: '/peer/v1/releases',
+  completions: '/peer/v1/completions',
+  handovers: '/peer/v1/handovers',
+  forward: '/peer/v1/forward',
+} as const;
+
+/** Headers on responses to forwarded orders. */
+export const ForwardHeader = {
+  /** `stored` for the response of a backend server, `decided` for an answer of the member. */
+  kind: 'bronzelift-order-answer',
+  /** Status of the response of the backend server. */
+  status: 'bronzelift-order-status',
+} as const;
+
+/** Status of a response to a message for another incarnation: misdirected request. */
+export const STATUS_WRONG_INCARNATION = 421;
--- a/packages/orders/src/index.ts
+++ b/packages/orders/src/index.ts
@@ -6,3 +6,6 @@
 export * from './types.js';
 export * from './utils.js';
 export * from './witnessService.js';
+export * from './forwardMessages.js';
+export * from './orderRoutes.js';
+export * from './peerTransport.js';
--- a/packages/orders/src/orderExecutor.ts
+++ b/packages/orders/src/orderExecutor.ts
@@ -157,6 +157,7 @@
   private actAlone(): Permission {
     const { knowledge, onViolation } = this.dependencies;
     const { member } = this.generation;
+    if (this.isDiscarded()) return { kind: 'refused', code: OrderCode.evicted };
     if (knowledge.isGone(member) && knowledge.holdsLease()) {
       onViolation('order-at-most-once', `${formatMember(member)} acts alone after its eviction`);
       return { kind: 'refused', code: OrderCode.evicted };
--- /dev/null
+++ b/packages/orders/src/peerCall.ts
@@ -0,0 +1,111 @@
+import { Agent, request as createRequest } from 'node:http';
+
+import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import type { Endpoint } from '@bronzelift/common';
+import { CONNECT_TIMEOUT_MS } from './constants.js';
+
+import type { HeaderMap } from './types.js';
+
+/** One HTTP request to another member. */
+export interface PeerCall {
+  readonly endpoint: Endpoint;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: HeaderMap;
+  readonly body: Uint8Array;
+  readonly timeoutMs: number;
+}
+
+/** End of a request to another member. Only a whole response counts as one. */
+export type PeerReply =
+  | {
+      readonly kind: 'response';
+      readonly status: number;
+      readonly headers: IncomingHttpHeaders;
+      readonly body: Uint8Array;
+    }
+  /** No connection was established, so the other member has not seen the request. */
+  | { readonly kind: 'not-reached' }
+  | { readonly kind: 'no-response' };
+
+/** Creates an agent for keep-alive connections; the latest used one is taken first. */
+export const createPeerAgent = (maxSockets: number): Agent =>
+  new Agent({ keepAlive: true, maxSockets, maxFreeSockets: maxSockets, scheduling: 'lifo' });
+
+/** Closes the idle connections to a peer, which may have gone silent like the one just used. */
+export const closeIdleConnections = (agent: Agent, endpoint: Endpoint): void => {
+  const prefix = `${endpoint.host}:${endpoint.port}:`;
+  for (const [name, sockets] of Object.entries(agent.freeSockets)) {
+    if (name.startsWith(prefix)) sockets?.forEach((socket) => socket.destroy());
+  }
+};
+
+const toRequestHeaders = (headers: HeaderMap): Record<string, string | string[]> =>
+  Object.fromEntries(
+    Object.entries(headers).map(([name, value]) => [
+      name,
+      typeof value === 'string' ? value : [...value],
+    ]),
+  );
+
+const isWhole = (response: IncomingMessage, body: Uint8Array): boolean => {
+  const expected = response.headers['content-length'];
+  return response.complete && (expected === undefined || Number(expected) === body.byteLength);
+};
+
+const readResponse = (response: IncomingMessage, resolve: (reply: PeerReply) => void): void => {
+  const chunks: Uint8Array[] = [];
+  response.on('data', (chunk: Uint8Array) => chunks.push(chunk));
+  response.on('error', () => resolve({ kind: 'no-response' }));
+  response.on('close', () => resolve({ kind: 'no-response' }));
+  response.on('end', () => {
+    const body = Buffer.concat(chunks);
+    if (!isWhole(response, body)) {
+      resolve({ kind: 'no-response' });
+      return;
+    }
+    const { headers, statusCode: status = 0 } = response;
+    resolve({ kind: 'response', status, headers, body });
+  });
+};
+
+/** Calls `onConnect` once the request has an established connection. */
+const watchConnection = (request: ClientRequest, onConnect: () => void): void => {
+  request.on('socket', (socket) => {
+    if (socket.connecting) socket.once('connect', onConnect);
+    else onConnect();
+  });
+};
+
+/** Sends one request; without an agent on a new connection. Does not reject. */
+export const callPeer = (call: PeerCall, agent: Agent | undefined): Promise<PeerReply> =>
+  new Promise((resolve) => {
+    let isConnected = false;
+    const { host, port } = call.endpoint;
+    const headers = { ...toRequestHeaders(call.headers), 'content-length': call.body.byteLength };
+    const { method, path } = call;
+    const request = createRequest({ host, port, method, path, headers, agent: agent ?? false });
+    const fail = (): void => {
+      request.destroy();
+      resolve({ kind: isConnected ? 'no-response' : 'not-reached' });
+    };
+    const timeout = setTimeout(fail, call.timeoutMs);
+    const connectTimeout = setTimeout(
+      () => {
+        if (!isConnected) fail();
+      },
+      Math.min(CONNECT_TIMEOUT_MS, call.timeoutMs),
+    );
+    watchConnection(request, () => {
+      isConnected = true;
+      clearTimeout(connectTimeout);
+    });
+    request.on('response', (response) => readResponse(response, resolve));
+    request.on('error', fail);
+    request.on('close', () => {
+      clearTimeout(timeout);
+      clearTimeout(connectTimeout);
+      resolve({ kind: isConnected ? 'no-response' : 'not-reached' });
+    });
+    request.end(call.body);
+  });
--- a/packages/orders/src/utils.ts
+++ b/packages/orders/src/utils.ts
@@ -43,9 +43,11 @@
 
 /** The form in which an answer is kept: without a body that is too large. */
 export const toKeptAnswer = (answer: StoredAnswer, hasRoom: boolean): StoredAnswer => {
-  if (answer.body === undefined) return answer;
-  if (hasRoom && answer.body.byteLength <= MAX_STORED_BODY_BYTES) return answer;
-  return { ...answer, body: undefined };
+  const { body } = answer;
+  if (body === undefined) return answer;
+  if (!hasRoom || body.byteLength > MAX_STORED_BODY_BYTES) return { ...answer, body: undefined };
+  // A copy, because a received body can be a view that keeps a larger buffer in memory.
+  return { ...answer, body: new Uint8Array(body) };
 };
 
 /** Whether the entry of a key belongs to an order with another method, path or body. */
--- a/packages/orders/tests/orders.property.test.ts
+++ b/packages/orders/tests/orders.property.test.ts
@@ -34,7 +34,8 @@
 const failure = fc.record({
   kind: fc.constantFrom<FailureKind[]>('freeze', 'isolate', 'kill', 'restart', 'leave'),
   atMs: fc.nat(SCHEDULE_MS),
-  vm: fc.nat(3),
+  // Mostly the homes and witnesses of the keys.
+  vm: fc.constantFrom(0, 0, 1, 1, 2, 3),
   durationMs: fc.integer({ min: 50, max: 10_000 }),
 });
 
@@ -100,7 +101,7 @@
 
 /** Each key ran at most once, and what was told to callers is true. */
 const checkSafety = (model: OrderModel): void => {
-  expect(model.violations).to.deep.equal([]);
+  expect(model.violations.join('; ')).to.equal('');
   const keysRun = model.runs.map(({ key }) => key);
   expect(new Set(keysRun).size, 'runs of the same key').to.equal(keysRun.length);
   for (const record of model.calls) {
