Add the backend client: connections known one by one, whole answers only

Cause: an open connection is evidence about the process behind it, and a response may be passed on only when it is complete and belongs to its request. Ruled out: an http.Agent per connection; it replaces a closed socket without notice, so that the age of a connection would not be known. Change: the pool opens its own sockets and hands one to each node:http request. A body without a length, bytes after the response, another x-request-id, data on an idle connection and any timeout close the connection; after a silence the idle connections that have not answered since are closed as well. whole-answer is asserted on separately kept evidence before a response is passed on.

--- a/packages/backendClient/src/index.ts
+++ b/packages/backendClient/src/index.ts
@@ -1,1 +1,3 @@
+export * from './backendPool.js';
+export * from './constants.js';
 export type * from './types.js';
--- /dev/null
+++ b/packages/backendClient/src/openSocket.ts
@@ -0,0 +1,53 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+
+import { describeError } from '@bronzelift/common';
+import type { Endpoint } from '@bronzelift/common';
+
+import { TCP_KEEP_ALIVE_MS } from './constants.js';
+
+/** Result of opening a TCP connection. */
+export type OpenSocketResult =
+  | { readonly kind: 'open'; readonly socket: Socket }
+  | {
+      readonly kind: 'failed';
+      readonly reason: 'connect-failed' | 'connect-timeout' | 'cancelled';
+      readonly detail: string;
+    };
+
+/** Opens a TCP connection within a time limit. Never rejects. */
+export const openSocket = async (
+  endpoint: Endpoint,
+  timeoutMs: number,
+  signal: AbortSignal | undefined,
+): Promise<OpenSocketResult> => {
+  if (signal?.aborted) {
+    return { kind: 'failed', reason: 'cancelled', detail: 'cancelled before the connect' };
+  }
+  const socket = connect({
+    host: endpoint.host,
+    port: endpoint.port,
+    noDelay: true,
+    keepAlive: true,
+    keepAliveInitialDelay: TCP_KEEP_ALIVE_MS,
+  });
+  // Stays for the lifetime of the socket: an error without a listener ends the process.
+  socket.on('error', () => {});
+  const timeLimit = AbortSignal.timeout(timeoutMs);
+  const limits = signal === undefined ? timeLimit : AbortSignal.any([timeLimit, signal]);
+  try {
+    await once(socket, 'connect', { signal: limits });
+    return { kind: 'open', socket };
+  } catch (error) {
+    socket.destroy();
+    if (signal?.aborted) {
+      return { kind: 'failed', reason: 'cancelled', detail: 'cancelled during the connect' };
+    }
+    if (timeLimit.aborted) {
+      const detail = `no connection within ${timeoutMs} ms`;
+      return { kind: 'failed', reason: 'connect-timeout', detail };
+    }
+    return { kind: 'failed', reason: 'connect-failed', detail: describeError(error) };
+  }
+};
--- /dev/null
+++ b/packages/backendClient/src/utils.ts
@@ -0,0 +1,90 @@
+import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
+
+import { BackendHeader, CallerHeader, formatEndpoint } from '@bronzelift/common';
+import type { Endpoint } from '@bronzelift/common';
+
+import {
+  OWN_HEADER_PREFIX,
+  STRIPPED_REQUEST_HEADERS,
+  STRIPPED_RESPONSE_HEADERS,
+} from './constants.js';
+import type { BackendRequest, ReportedLoad } from './types.js';
+
+const LOAD_STATES = ['cold', 'warm', 'draining'] as const;
+
+const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+const parseNamedHeaders = (connection: string | undefined): readonly string[] =>
+  connection === undefined ? [] : connection.split(',').map((name) => name.trim().toLowerCase());
+
+const copyHeaders = (
+  headers: IncomingHttpHeaders,
+  stripped: ReadonlySet<string>,
+): OutgoingHttpHeaders => {
+  const copied: OutgoingHttpHeaders = {};
+  // Headers that `connection` names are hop-by-hop too.
+  const named = parseNamedHeaders(headers.connection);
+  for (const [name, value] of Object.entries(headers)) {
+    const isOwn = stripped.has(name) || name.startsWith(OWN_HEADER_PREFIX);
+    if (!isOwn && !named.includes(name)) copied[name] = value;
+  }
+  return copied;
+};
+
+/** Headers sent to a backend server. */
+export const createRequestHeaders = (
+  request: BackendRequest,
+  endpoint: Endpoint,
+): OutgoingHttpHeaders => {
+  const headers = copyHeaders(request.headers, STRIPPED_REQUEST_HEADERS);
+  headers.host = formatEndpoint(endpoint);
+  // Without this, Node closes the connection of a request that has no agent.
+  headers.connection = 'keep-alive';
+  headers[BackendHeader.requestId] = request.requestId;
+  headers[BackendHeader.deadlineMs] = String(request.deadlineAtWallMs);
+  if (request.idempotencyKey !== undefined) {
+    headers[BackendHeader.idempotencyKey] = request.idempotencyKey;
+  }
+  if (request.callDepth !== undefined) headers[CallerHeader.callDepth] = String(request.callDepth);
+  if (request.body !== undefined) headers['content-length'] = String(request.body.length);
+  return headers;
+};
+
+/** Headers passed on to the caller; the length is that of the buffered body. */
+export const createResponseHeaders = (
+  headers: IncomingHttpHeaders,
+  bodyBytes: number | undefined,
+): OutgoingHttpHeaders => {
+  const copied = copyHeaders(headers, STRIPPED_RESPONSE_HEADERS);
+  if (bodyBytes !== undefined) copied['content-length'] = String(bodyBytes);
+  return copied;
+};
+
+/** Whether a response has no body whatever its headers say (RFC 9112, 6.3). */
+export const isBodyless = (method: string, status: number): boolean =>
+  method === 'HEAD' || NO_BODY_STATUSES.has(status);
+
+const readText = (value: string | string[] | undefined): string | undefined =>
+  Array.isArray(value) ? value[0] : value;
+
+const readCount = (value: string | string[] | undefined): number | undefined => {
+  const text = readText(value);
+  const count = text === undefined || text === '' ? NaN : Number(text);
+  return Number.isInteger(count) && count >= 0 ? count : undefined;
+};
+
+/** Load that a backend server states in a response. */
+export const readReportedLoad = (headers: IncomingHttpHeaders): ReportedLoad => {
+  const state = readText(headers[BackendHeader.loadState]);
+  return {
+    instanceId: readText(headers[BackendHeader.instanceId]),
+    bootId: readText(headers[BackendHeader.bootId]),
+    inFlight: readCount(headers[BackendHeader.loadInFlight]),
+    slots: readCount(headers[BackendHeader.loadSlots]),
+    state: LOAD_STATES.find((known) => known === state),
+  };
+};
+
+/** Length that a response states; undefined without one. */
+export const readContentLength = (headers: IncomingHttpHeaders): number | undefined =>
+  readCount(headers['content-length']);
--- /dev/null
+++ b/packages/backendClient/tests/backendPool.test.ts
@@ -0,0 +1,320 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { SystemClock } from '@bronzelift/common';
+
+import { BackendPool } from '../src/index.js';
+import type { BackendAttempt, BackendRequest, ConnectionNeed } from '../src/index.js';
+import { RawServer, formatAnswer } from './rawServer.js';
+import type { RawHandler } from './rawServer.js';
+
+const seedOption = process.env.SEED === undefined ? {} : { seed: Number(process.env.SEED) };
+const clock = SystemClock.create();
+
+let server: RawServer;
+let pool: BackendPool;
+let closed: string[];
+let violations: string[];
+let lastRequest = 0;
+
+const answerBody: RawHandler = (socket, { requestId }) => {
+  socket.write(formatAnswer(requestId, `body of ${requestId}`));
+};
+
+const createPool = (maxConnections = 8, maxBodyBytes = 1000): BackendPool =>
+  BackendPool.create({
+    instanceId: 'i0',
+    endpoint: { host: '127.0.0.1', port: server.port },
+    maxConnections,
+    maxBodyBytes,
+    clock,
+    connectTimeoutMs: 500,
+    onConnectionClosed: ({ reason }) => closed.push(reason),
+    onViolation: (name, detail) => violations.push(`${name}: ${detail}`),
+  });
+
+const createRequest = (change: Partial<BackendRequest> = {}): BackendRequest => {
+  lastRequest += 1;
+  return {
+    method: 'GET',
+    path: '/size?breed=1',
+    headers: {},
+    requestId: `r${lastRequest}`,
+    deadlineAtWallMs: 1_700_000_000_000,
+    timeoutMs: 5000,
+    ...change,
+  };
+};
+
+const open = async (need: ConnectionNeed = {}) => {
+  const result = await pool.acquire(need);
+  if (result.kind !== 'acquired') throw new Error(result.detail);
+  return result.connection;
+};
+
+const send = async (change?: Partial<BackendRequest>): Promise<BackendAttempt> =>
+  pool.send(createRequest(change), await open());
+
+/** Waits for a condition that events of sockets bring about. */
+const until = async (condition: () => boolean): Promise<void> => {
+  for (let waitedMs = 0; !condition() && waitedMs < 5000; waitedMs += 5) await delay(5);
+  expect(condition()).to.equal(true);
+};
+
+const expectFailure = (attempt: BackendAttempt, reason: string): void => {
+  expect(attempt).to.include({ kind: 'failed-after-send', reason });
+  expect(pool.stats()).to.deep.equal({ idle: 0, busy: 0, opening: 0 });
+};
+
+describe('BackendPool', () => {
+  beforeEach(async () => {
+    server = await RawServer.create(answerBody);
+    closed = [];
+    violations = [];
+    pool = createPool();
+  });
+
+  afterEach(async () => {
+    pool.destroy();
+    await server.close();
+    expect(violations).to.deep.equal([]);
+  });
+
+  it('uses a connection again and proves it with each response', async () => {
+    const first = await send();
+    expect(first.kind).to.equal('answered');
+    const connection = await open({ provenWithinMs: 1000 });
+    expect(connection.lastResponseAtMs).to.be.a('number');
+    const second = await pool.send(createRequest(), connection);
+    expect(second.kind === 'answered' && second.response.body.toString()).to.equal(
+      `body of r${lastRequest}`,
+    );
+    expect(server.sockets).to.have.length(1);
+  });
+
+  it('sets its own headers, and strips them and hop-by-hop headers in both directions', async () => {
+    server.handler = (socket, { requestId }) => {
+      const extra =
+        'x-load-state: cold\r\nx-load-slots: 4\r\nkeep-alive: timeout=5\r\nx-own: b\r\n';
+      socket.write(formatAnswer(requestId, 'ok', extra));
+    };
+    const headers = {
+      connection: 'keep-alive, x-hop',
+      'x-hop': '1',
+      'x-deadline-ms': '9',
+      'x-not-run': '1',
+      'bronzelift-timeout-ms': '9',
+      'idempotency-key': 'forged',
+      accept: 'text/plain',
+    };
+    const attempt = await send({ headers, idempotencyKey: 'key', callDepth: 3 });
+    const sent = server.requests[0]!.head.split('\r\n').slice(1).sort();
+    expect(sent).to.deep.equal([
+      'accept: text/plain',
+      'bronzelift-call-depth: 3',
+      'connection: keep-alive',
+      `host: 127.0.0.1:${server.port}`,
+      'idempotency-key: key',
+      'x-deadline-ms: 1700000000000',
+      `x-request-id: r${lastRequest}`,
+    ]);
+    if (attempt.kind !== 'answered') throw new Error(attempt.kind);
+    expect(attempt.response.headers).to.deep.equal({ 'x-own': 'b', 'content-length': '2' });
+    expect(attempt.response.load).to.include({ state: 'cold', slots: 4, inFlight: undefined });
+  });
+
+  it('never passes on a response that was cut, crossed, reset or not HTTP', async () => {
+    const cases: [string, RawHandler][] = [
+      ['cut-short', (socket, { requestId }) => socket.end(formatAnswer(requestId, 'abc', '', 10))],
+      ['cut-short', (socket) => socket.end('HTTP/1.1 200 OK\r\n\r\nbody without a length')],
+      [
+        'cut-short',
+        (socket) => socket.end('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n'),
+      ],
+      ['mismatched', (socket) => socket.write(formatAnswer('other', 'abc'))],
+      ['reset', (socket) => socket.resetAndDestroy()],
+      ['reset', (socket) => socket.end()],
+      ['malformed', (socket) => socket.write('garbage\r\n\r\n')],
+      ['malformed', (socket, { requestId }) => socket.write(`${formatAnswer(requestId, 'a')}bc`)],
+      [
+        'malformed',
+        (socket, { requestId }) => socket.write(formatAnswer(requestId, 'a').repeat(2)),
+      ],
+    ];
+    for (const [reason, handler] of cases) {
+      server.handler = handler;
+      expectFailure(await send(), reason);
+    }
+  });
+
+  it('does not give a late response to the next request', async () => {
+    server.handler = (socket, { requestId, index, connection }) => {
+      if (connection === 0 && index === 0) {
+        setTimeout(() => socket.write(formatAnswer(requestId, 'late')), 60);
+      } else answerBody(socket, { requestId, index, connection, head: '' });
+    };
+    expectFailure(await send({ timeoutMs: 30 }), 'timeout');
+    const next = await send();
+    expect(next.kind === 'answered' && next.response.body.toString()).to.equal(
+      `body of r${lastRequest}`,
+    );
+    expect(server.requests[1]!.connection).to.equal(1);
+  });
+
+  it('closes idle connections that say something without a request', async () => {
+    await send();
+    server.sockets[0]!.write(formatAnswer('stray', 'stray'));
+    await until(() => closed.length > 0);
+    expect(closed).to.deep.equal(['in-doubt']);
+    expect(pool.stats().idle).to.equal(0);
+  });
+
+  it('closes idle connections of a silent peer, but not those that answered since', async () => {
+    const [silent, old, recent] = [await open(), await open(), await open()];
+    pool.release(old);
+    server.handler = () => {};
+    const attempt = pool.send(createRequest({ timeoutMs: 300 }), silent);
+    await until(() => server.requests.length === 1);
+    server.handler = answerBody;
+    await pool.send(createRequest(), recent);
+    expect(await attempt).to.include({ kind: 'failed-after-send', reason: 'timeout' });
+    expect(closed).to.deep.equal(['in-doubt', 'suspect']);
+    expect(pool.connections()).to.deep.equal([recent]);
+  });
+
+  it('tells a refusal from an answer', async () => {
+    server.handler = (socket, { requestId }) => {
+      socket.write(formatAnswer(requestId, 'busy', 'x-not-run: 1\r\n'));
+    };
+    expect((await send()).kind).to.equal('refused');
+    expect(pool.stats().idle).to.equal(1);
+  });
+
+  it('reports a response above the limit, stated or not, and closes the connection', async () => {
+    server.handler = (socket, { requestId }) => {
+      socket.write(formatAnswer(requestId, 'x'.repeat(2000)));
+    };
+    expect(await send()).to.include({ kind: 'too-large', status: 200 });
+    server.handler = (socket) => {
+      const chunk = `7d0\r\n${'x'.repeat(2000)}\r\n`;
+      socket.write(`HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${chunk}`);
+    };
+    expect((await send()).kind).to.equal('too-large');
+    expect(pool.stats()).to.deep.equal({ idle: 0, busy: 0, opening: 0 });
+  });
+
+  it('accepts chunked responses, responses without a body, and `connection: close`', async () => {
+    server.handler = (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n');
+    };
+    const chunked = await send();
+    expect(chunked.kind === 'answered' && chunked.response.body.toString()).to.equal('abc');
+    server.handler = (socket) => socket.write('HTTP/1.1 200 OK\r\ncontent-length: 500\r\n\r\n');
+    expect((await send({ method: 'HEAD' })).kind).to.equal('answered');
+    server.handler = (socket) => socket.write('HTTP/1.1 204 No Content\r\n\r\n');
+    expect((await send()).kind).to.equal('answered');
+    expect(pool.stats().idle).to.equal(1);
+    server.handler = (socket, { requestId }) => {
+      socket.write(formatAnswer(requestId, 'bye', 'connection: close\r\n'));
+    };
+    expect((await send()).kind).to.equal('answered');
+    expect(pool.stats().idle).to.equal(0);
+    expect(closed).to.deep.equal(['ended-by-backend']);
+  });
+
+  it('cancels by closing the connection, so that the backend server can stop', async () => {
+    const caller = new AbortController();
+    server.handler = () => caller.abort();
+    const attempt = await pool.send(createRequest(), await open(), caller.signal);
+    expectFailure(attempt, 'cancelled');
+    await until(() => server.sockets[0]!.destroyed);
+  });
+
+  it('proves that nothing was sent when the connection is closed or the caller gone', async () => {
+    const connection = await open();
+    await until(() => server.sockets.length === 1);
+    server.sockets[0]!.destroy();
+    await until(() => !connection.isOpen);
+    const onClosed = await pool.send(createRequest(), connection);
+    expect(onClosed).to.include({ kind: 'not-sent', reason: 'connection-closed' });
+    const onGone = await pool.send(createRequest(), await open(), AbortSignal.abort());
+    expect(onGone).to.include({ kind: 'not-sent', reason: 'cancelled' });
+    const caller = new AbortController();
+    const beforeWrite = pool.send(createRequest(), await open(), caller.signal);
+    caller.abort();
+    expect((await beforeWrite).kind).to.equal('not-sent');
+    await delay(30);
+    expect(server.requests).to.deep.equal([]);
+  });
+
+  it('chooses connections by age and proof, and keeps to its limit', async () => {
+    pool.destroy();
+    pool = createPool(2);
+    const [first, second] = [await open(), await open()];
+    expect(await pool.acquire({})).to.include({ kind: 'not-available', reason: 'limit' });
+    pool.release(first);
+    pool.release(second);
+    const betweenMs = (first.openedAtMs + second.openedAtMs) / 2;
+    expect(pool.takeIdle({ openedBeforeMs: betweenMs })).to.equal(first);
+    const none = await pool.acquire({ openedBeforeMs: betweenMs });
+    expect(none).to.include({ kind: 'not-available', reason: 'no-match' });
+    pool.release(first);
+    await delay(20);
+    const renewed = await pool.acquire({ provenWithinMs: 10 });
+    expect(renewed).to.include({ kind: 'acquired', isNew: true });
+    expect(pool.stats()).to.deep.equal({ idle: 1, busy: 1, opening: 0 });
+  });
+
+  it('reports a connect that fails without anything sent', async () => {
+    await server.close();
+    const result = await pool.acquire({});
+    expect(result).to.include({ kind: 'not-available', reason: 'connect-failed' });
+    server = await RawServer.create(answerBody);
+  });
+
+  it('gives every request its own whole response or a failure, whatever the server does', async () => {
+    const behaviours = [
+      'ok',
+      'cut',
+      'crossed',
+      'reset',
+      'late',
+      'twice',
+      'slow',
+      'open-ended',
+    ] as const;
+    const act =
+      (behaviour: (typeof behaviours)[number]): RawHandler =>
+      (socket, request) => {
+        const whole = formatAnswer(request.requestId, `body of ${request.requestId}`);
+        if (behaviour === 'ok') socket.write(whole);
+        if (behaviour === 'cut') socket.end(whole.slice(0, -3));
+        if (behaviour === 'crossed') socket.write(formatAnswer('r0', 'body of r0'));
+        if (behaviour === 'reset') socket.resetAndDestroy();
+        if (behaviour === 'late') setTimeout(() => socket.write(whole), 30);
+        if (behaviour === 'twice') socket.write(whole + whole);
+        if (behaviour === 'open-ended') socket.end('HTTP/1.1 200 OK\r\n\r\nbody');
+        if (behaviour === 'slow') for (const byte of whole) socket.write(byte);
+      };
+    const property = fc.asyncProperty(
+      fc.array(fc.constantFrom(...behaviours), { minLength: 1, maxLength: 12 }),
+      async (plan) => {
+        const remaining = [...plan];
+        server.handler = (socket, request) => act(remaining.pop() ?? 'ok')(socket, request);
+        const attempts = plan.map(async () => {
+          const acquired = await pool.acquire({});
+          if (acquired.kind !== 'acquired') return;
+          const request = createRequest({ timeoutMs: 20 });
+          const attempt = await pool.send(request, acquired.connection);
+          if (attempt.kind !== 'answered') return;
+          expect(attempt.response.body.toString()).to.equal(`body of ${request.requestId}`);
+        });
+        await Promise.all(attempts);
+        expect(pool.stats().busy).to.equal(0);
+      },
+    );
+    await fc.assert(property, { numRuns: 60, ...seedOption });
+  });
+});
