standins: log, VM list and backend stand-ins with their programs

Cause: the entry daemon and the demo launcher need the outside systems with faults on request. Ruled out: one process per instance, since a few hundred processes are the limit. Change: three stand-ins (in-process classes and thin programs), behaviors checked by zod, reports. Conclusion: usable by the launcher.

--- a/packages/standins/src/behaviors.ts
+++ b/packages/standins/src/behaviors.ts
@@ -43,6 +43,16 @@
 ]);
 export type LogBehavior = z.input<typeof logBehaviorSchema>;
 
+/** Entries of the VM list; their state defaults to live. */
+export const vmEntriesSchema = z.array(
+  z.strictObject({
+    vmId: z.string().min(1),
+    address: z.string().min(1),
+    failureDomainId: z.string().min(1),
+    state: z.enum(['live', 'leaving']).default('live'),
+  }),
+);
+
 /** Behaviors of the VM list stand-in. */
 export const vmListBehaviorSchema = z.discriminatedUnion('kind', [
   outage,
@@ -50,14 +60,7 @@
   delay,
   z.strictObject({
     kind: z.literal('add'),
-    vms: z.array(
-      z.strictObject({
-        vmId: z.string().min(1),
-        address: z.string().min(1),
-        failureDomainId: z.string().min(1),
-        state: z.enum(['live', 'leaving']).default('live'),
-      }),
-    ),
+    vms: vmEntriesSchema,
   }),
   z.strictObject({ kind: z.literal('leaving'), vmIds: z.array(z.string()).min(1) }),
   z.strictObject({ kind: z.literal('remove'), vmIds: z.array(z.string()).min(1) }),
--- /dev/null
+++ b/packages/standins/src/logStore.ts
@@ -0,0 +1,79 @@
+import { randomUUID } from 'node:crypto';
+
+import type { LogReadResponse, LogRecord } from './types.js';
+
+const RATE_WINDOW_MS = 1000;
+
+/** Limits of a log; null means without limit. */
+export interface LogLimits {
+  appendsPerSecond: number;
+  retentionMs: number | null;
+  retentionRecords: number | null;
+}
+
+/** Records of the log in memory, with retention and the limit on appends. */
+export class LogStore {
+  private records: LogRecord[] = [];
+
+  private recentAppendsMs: number[] = [];
+
+  private id = randomUUID();
+
+  private constructor(
+    readonly limits: LogLimits,
+    private nextOffset: number,
+  ) {}
+
+  /** Creates an empty log whose first record gets the given offset. */
+  static create(limits: LogLimits, firstOffset = 0): LogStore {
+    return new LogStore(limits, firstOffset);
+  }
+
+  /** Offset of the next append. */
+  get endOffset(): number {
+    return this.nextOffset;
+  }
+
+  /** Appends a record; returns undefined when the limit of appends per second is reached. */
+  append(payload: unknown, nowMs: number): LogRecord | undefined {
+    this.recentAppendsMs = this.recentAppendsMs.filter((atMs) => atMs > nowMs - RATE_WINDOW_MS);
+    if (this.recentAppendsMs.length >= this.limits.appendsPerSecond) return undefined;
+    this.recentAppendsMs.push(nowMs);
+    const record = { offset: this.nextOffset, appendedAtMs: nowMs, payload };
+    this.nextOffset += 1;
+    this.records.push(record);
+    return record;
+  }
+
+  /** Records from an offset on; the reader sees by `firstOffset` what is no longer retained. */
+  read(fromOffset: number, limit: number, nowMs: number): LogReadResponse {
+    this.prune(nowMs);
+    const firstOffset = this.records[0]?.offset ?? this.nextOffset;
+    const start = Math.max(0, fromOffset - firstOffset);
+    return {
+      logId: this.id,
+      firstOffset,
+      endOffset: this.nextOffset,
+      records: this.records.slice(start, start + limit),
+    };
+  }
+
+  /** Replaces the log by an empty one with another id. */
+  restart(endOffset: number): void {
+    this.id = randomUUID();
+    this.records = [];
+    this.recentAppendsMs = [];
+    this.nextOffset = endOffset;
+  }
+
+  private prune(nowMs: number): void {
+    const { retentionMs, retentionRecords } = this.limits;
+    const oldestMs = retentionMs === null ? -Infinity : nowMs - retentionMs;
+    const excess = retentionRecords === null ? 0 : this.records.length - retentionRecords;
+    let dropped = Math.max(0, excess);
+    while (dropped < this.records.length && this.records[dropped]!.appendedAtMs < oldestMs) {
+      dropped += 1;
+    }
+    if (dropped > 0) this.records.splice(0, dropped);
+  }
+}
--- /dev/null
+++ b/packages/standins/src/vmListStore.ts
@@ -0,0 +1,62 @@
+import type { VmEntry, VmListResponse } from './types.js';
+
+interface Version {
+  readonly changedAtMs: number;
+  readonly vms: ReadonlyMap<string, VmEntry>;
+}
+
+/** VM list whose changes become visible after a lag. */
+export class VmListStore {
+  private versions: Version[];
+
+  private constructor(
+    initial: readonly VmEntry[],
+    public lagMs: number,
+  ) {
+    const vms = new Map(initial.map((vm) => [vm.vmId, vm]));
+    this.versions = [{ changedAtMs: -Infinity, vms }];
+  }
+
+  /** Creates a list whose initial entries are visible at once. */
+  static create(initial: readonly VmEntry[], lagMs: number): VmListStore {
+    return new VmListStore(initial, lagMs);
+  }
+
+  /** Adds entries or replaces those with the same id. */
+  add(vms: readonly VmEntry[], nowMs: number): void {
+    this.change(nowMs, (list) => vms.forEach((vm) => list.set(vm.vmId, vm)));
+  }
+
+  /** Marks entries as leaving; unknown ids are ignored. */
+  markLeaving(vmIds: readonly string[], nowMs: number): void {
+    this.change(nowMs, (list) =>
+      vmIds.forEach((vmId) => {
+        const vm = list.get(vmId);
+        if (vm) list.set(vmId, { ...vm, state: 'leaving' });
+      }),
+    );
+  }
+
+  /** Removes entries. */
+  remove(vmIds: readonly string[], nowMs: number): void {
+    this.change(nowMs, (list) => vmIds.forEach((vmId) => list.delete(vmId)));
+  }
+
+  /** The list as a client sees it now. */
+  visible(nowMs: number): VmListResponse {
+    const asOfMs = nowMs - this.lagMs;
+    const version = this.versions.findLast(({ changedAtMs }) => changedAtMs <= asOfMs);
+    return { asOfMs, vms: [...(version ?? this.versions[0]!).vms.values()] };
+  }
+
+  /** The list with all changes. */
+  latest(): readonly VmEntry[] {
+    return [...this.versions.at(-1)!.vms.values()];
+  }
+
+  private change(nowMs: number, edit: (list: Map<string, VmEntry>) => void): void {
+    const vms = new Map(this.versions.at(-1)!.vms);
+    edit(vms);
+    this.versions.push({ changedAtMs: nowMs, vms });
+  }
+}
--- /dev/null
+++ b/packages/standins/tests/client.ts
@@ -0,0 +1,79 @@
+import { Agent, request } from 'node:http';
+import type { IncomingHttpHeaders } from 'node:http';
+
+import type { Endpoint } from '@bronzelift/common';
+
+/** Response as received, whole or not. */
+export interface Received {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  readonly complete: boolean;
+}
+
+/** Options of a test request. */
+export interface SendOptions {
+  readonly method?: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: string;
+  readonly agent?: Agent;
+  readonly signal?: AbortSignal;
+}
+
+/** Sends a request; rejects when the connection ends before the response headers. */
+export const send = (
+  endpoint: Endpoint,
+  path: string,
+  options: SendOptions = {},
+): Promise<Received> =>
+  new Promise((resolve, reject) => {
+    const { body, agent = new Agent(), ...rest } = options;
+    let responded = false;
+    const outgoing = request({ ...endpoint, path, agent, ...rest }, (incoming) => {
+      responded = true;
+      const chunks: Buffer[] = [];
+      incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+      incoming.on('error', () => undefined);
+      incoming.on('close', () =>
+        resolve({
+          status: incoming.statusCode ?? 0,
+          headers: incoming.headers,
+          body: Buffer.concat(chunks).toString('utf8'),
+          complete: incoming.complete,
+        }),
+      );
+    });
+    // After the response headers, the close of the response settles the promise.
+    outgoing.on('error', (error) => {
+      if (!responded) reject(error);
+    });
+    outgoing.end(body);
+  });
+
+/** Posts JSON. */
+export const post = (
+  endpoint: Endpoint,
+  path: string,
+  value: unknown,
+  headers: Record<string, string> = {},
+): Promise<Received> =>
+  send(endpoint, path, { method: 'POST', headers, body: JSON.stringify(value) });
+
+/** Whether a promise is still pending after a while. */
+export const isPendingAfter = async (promise: Promise<unknown>, waitMs: number): Promise<boolean> =>
+  Promise.race([
+    promise.then(
+      () => false,
+      () => false,
+    ),
+    new Promise<boolean>((resolve) => {
+      setTimeout(() => resolve(true), waitMs);
+    }),
+  ]);
+
+/** Code of the error with which a promise rejects; undefined when it resolves. */
+export const errorCode = (promise: Promise<unknown>): Promise<string | undefined> =>
+  promise.then(
+    () => undefined,
+    (error: NodeJS.ErrnoException) => error.code,
+  );
