Harden the request path: pauses, invalid requests, lost slots, stalled log reader

Cause: found in review. (1) After a pause of the process the timeout of an attempt fired before its response was read, so that an order that had been answered became unknown. (2) Node throws on some paths and header values, so that send rejected. (3) Lookups made too late by a loss of slots waited until their deadline. (4) Requests that must not wait raised the retry-after of others, although they are tried elsewhere. (5) Closing the log waited for ever for a reader that had stalled. Change: the timeout acts after one more read of the sockets; such requests end as not-sent; hopeless lookups are displaced when slots are lost, orders are not; code no-free-slot counts no returning work; the close has a limit of 1 s. observeAttempt and a type test connect backend attempts with routing.

--- a/packages/admission/src/admissionEntry.ts
+++ b/packages/admission/src/admissionEntry.ts
@@ -3,7 +3,7 @@
 /** What an entry needs from its queue. */
 export interface EntryOwner {
   readonly now: () => number;
-  readonly createRetryAfterMs: (predictedWaitMs: number) => number;
+  readonly createRetryAfterMs: (code: RefusalCode, predictedWaitMs: number) => number;
   /** The entry no longer waits; `hasStarted` is false when it was refused. */
   readonly onLeave: (entry: AdmissionEntry, hasStarted: boolean) => void;
   readonly onViolation: (name: 'not-run-is-true', detail: string) => void;
@@ -77,7 +77,7 @@
       kind: 'not-run',
       code,
       predictedWaitMs,
-      retryAfterMs: this.owner.createRetryAfterMs(predictedWaitMs),
+      retryAfterMs: this.owner.createRetryAfterMs(code, predictedWaitMs),
       waitedMs: this.owner.now() - this.arrivedAtMs,
     });
   }
--- a/packages/admission/src/admissionQueue.ts
+++ b/packages/admission/src/admissionQueue.ts
@@ -58,7 +58,7 @@
     this.meanServiceTimeMs = options.initialServiceTimeMs ?? DEFAULT_SERVICE_TIME_MS;
     this.owner = {
       now: () => options.clock.monotonicMs(),
-      createRetryAfterMs: (predictedWaitMs) => this.createRetryAfterMs(predictedWaitMs),
+      createRetryAfterMs: (code, predictedWaitMs) => this.createRetryAfterMs(code, predictedWaitMs),
       onLeave: (entry, hasStarted) => {
         this.waiting.delete(entry);
         if (!hasStarted) lanes.remove(entry.id);
@@ -83,9 +83,11 @@
       this.queue.pause();
       return;
     }
+    const isDecrease = count < this.usableSlots;
     this.usableSlots = count;
     this.queue.concurrency = count;
     this.queue.start();
+    if (isDecrease) this.displaceHopelessLookups(Infinity);
   }
 
   /** Runs a task in a slot, now or later, or answers that it was not run. Never rejects. */
@@ -147,7 +149,7 @@
     if (callerSignal !== undefined) entry.watchCaller(callerSignal);
     this.enqueue(entry, run);
     this.armExpiry(entry.deadlineAtMs);
-    if (entry.isOrder) this.displaceHopelessLookups();
+    if (entry.isOrder) this.displaceHopelessLookups(DISPLACEMENT_CHECKS_PER_ORDER);
   }
 
   private enqueue(entry: AdmissionEntry, run: () => Promise<void>): void {
@@ -176,9 +178,12 @@
     this.meanServiceTimeMs = updateMean(this.meanServiceTimeMs, this.owner.now() - startedAtMs);
   }
 
-  /** Orders that joined can make lookups too late; these learn it now, not at their deadline. */
-  private displaceHopelessLookups(): void {
-    for (let checked = 0; checked < DISPLACEMENT_CHECKS_PER_ORDER; checked++) {
+  /**
+   * Orders that joined and slots that were lost can make lookups too late; these learn it now, not
+   * at their deadline. Orders keep their place: slots may return before their deadline.
+   */
+  private displaceHopelessLookups(limit: number): void {
+    for (let displaced = 0; displaced < limit; displaced++) {
       const newest = this.waiting.newestLookup();
       const view = this.view();
       if (newest === undefined || !isLookupHopeless(view, newest.deadlineAtMs)) return;
@@ -208,7 +213,9 @@
   }
 
   /** Retry-after of a refusal; counts the refused request as work that will come back. */
-  private createRetryAfterMs(predictedWaitMs: number): number {
+  private createRetryAfterMs(code: RefusalCode, predictedWaitMs: number): number {
+    // A caller that went away does not come back; a request that must not wait is tried elsewhere.
+    if (code === 'cancelled' || code === 'no-free-slot') return 0;
     const nowMs = this.owner.now();
     const elapsedMs = nowMs - this.refusedWorkAtMs;
     const addedMs = this.meanServiceTimeMs / Math.max(this.usableSlots, 1);
--- a/packages/admission/src/decideAdmission.ts
+++ b/packages/admission/src/decideAdmission.ts
@@ -33,7 +33,8 @@
   if (queued === 0 && view.running < view.usableSlots) return { kind: 'start' };
   const predictedWaitMs = predictWait(view, request.isOrder);
   const isInTime = predictedWaitMs + view.meanServiceTimeMs <= remainingMs;
-  if (request.isImmediate || !isInTime) {
+  if (request.isImmediate) return { kind: 'refuse', code: 'no-free-slot', predictedWaitMs };
+  if (!isInTime) {
     return { kind: 'refuse', code: 'overloaded', predictedWaitMs };
   }
   if (queued < view.maxQueued) return { kind: 'wait', predictedWaitMs };
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -12,8 +12,9 @@
   readonly isImmediate?: boolean | undefined;
 }
 
-/** Why a request was answered without being run. */
-export type RefusalCode = 'overloaded' | 'displaced' | 'deadline-exceeded' | 'cancelled';
+/** Why a request was answered without being run; `no-free-slot` only for immediate requests. */
+export type RefusalCode =
+  'overloaded' | 'no-free-slot' | 'displaced' | 'deadline-exceeded' | 'cancelled';
 
 /** Result of an admission; exactly one per request. */
 export type AdmissionResult<T> =
@@ -26,6 +27,7 @@
       readonly code: RefusalCode;
       /** Infinity without slots; 0 when the wait was not the reason. */
       readonly predictedWaitMs: number;
+      /** Randomized; 0 for `cancelled` and `no-free-slot`, which are not answered to a caller. */
       readonly retryAfterMs: number;
       readonly waitedMs: number;
     };
@@ -53,7 +55,7 @@
   | { readonly kind: 'displace-lookup'; readonly predictedWaitMs: number }
   | {
       readonly kind: 'refuse';
-      readonly code: 'overloaded' | 'deadline-exceeded';
+      readonly code: 'overloaded' | 'no-free-slot' | 'deadline-exceeded';
       readonly predictedWaitMs: number;
     };
 
--- a/packages/admission/tests/admissionQueue.test.ts
+++ b/packages/admission/tests/admissionQueue.test.ts
@@ -205,6 +205,19 @@
     expect(lookup.answers[0]).to.include({ kind: 'not-run', code: 'displaced' });
   });
 
+  it('displaces lookups that a loss of slots makes too late, but no orders', async () => {
+    const harness = new Harness(100);
+    harness.setSlots(4);
+    for (let n = 0; n < 4; n++) harness.arrive(false, 1000);
+    const order = harness.arrive(true, 25);
+    const lookups = Array.from({ length: 4 }, () => harness.arrive(false, 39));
+    harness.setSlots(1);
+    await nextTurn();
+    const codes = lookups.map(({ answers: [answer] }) => answer?.kind === 'not-run' && answer.code);
+    expect(codes).to.deep.equal([false, 'displaced', 'displaced', 'displaced']);
+    expect(order.answers).to.deep.equal([]);
+  });
+
   it('makes room for an order in a full queue, and refuses a lookup there', async () => {
     const harness = new Harness(2);
     harness.setSlots(1);
--- a/packages/admission/tests/decideAdmission.test.ts
+++ b/packages/admission/tests/decideAdmission.test.ts
@@ -51,7 +51,8 @@
 
   it('does not queue a request that must start now', () => {
     const request = { isOrder: false, deadlineAtMs: 1000, isImmediate: true };
-    expect(decideAdmission(createView({}), request).kind).to.equal('refuse');
+    const busy = decideAdmission(createView({}), request);
+    expect(busy).to.include({ kind: 'refuse', code: 'no-free-slot' });
     expect(decideAdmission(createView({ running: 3 }), request).kind).to.equal('start');
   });
 
--- a/packages/backendClient/src/backendPool.ts
+++ b/packages/backendClient/src/backendPool.ts
@@ -85,10 +85,10 @@
       const detail = `connection ${connection.id} to ${this.peer} is closed`;
       return { kind: 'not-sent', reason: 'connection-closed', detail, durationMs: 0 };
     }
-    if (signal?.aborted) {
+    if (signal?.aborted || request.timeoutMs <= 0) {
       this.park(known);
-      const detail = 'cancelled before the request was sent';
-      return { kind: 'not-sent', reason: 'cancelled', detail, durationMs: 0 };
+      const reason = signal?.aborted ? 'cancelled' : 'expired';
+      return { kind: 'not-sent', reason, detail: `${reason} before the send`, durationMs: 0 };
     }
     const sentAtMs = this.now();
     const { endpoint, clock, maxBodyBytes = DEFAULT_MAX_BODY_BYTES } = this.options;
--- a/packages/backendClient/src/constants.ts
+++ b/packages/backendClient/src/constants.ts
@@ -49,3 +49,6 @@
 
 /** Value of `x-not-run` on a refusal. */
 export const NOT_RUN_VALUE = '1';
+
+/** Node fires timers above this after 1 ms. */
+export const MAX_TIMER_MS = 2 ** 31 - 1;
--- a/packages/backendClient/src/sendAttempt.ts
+++ b/packages/backendClient/src/sendAttempt.ts
@@ -5,7 +5,7 @@
 import { BackendHeader, describeError } from '@bronzelift/common';
 import type { Clock, Endpoint } from '@bronzelift/common';
 
-import { NOT_RUN_VALUE } from './constants.js';
+import { MAX_TIMER_MS, NOT_RUN_VALUE } from './constants.js';
 import type {
   BackendAttempt,
   BackendRequest,
@@ -80,9 +80,14 @@
       path: request.path,
       headers: createRequestHeaders(request, context.endpoint),
     });
-    this.timer = setTimeout(() => {
-      this.fail('timeout', `no complete response within ${request.timeoutMs} ms`);
-    }, request.timeoutMs);
+    this.timer = setTimeout(
+      () => {
+        // After a pause of the process the timer runs before sockets are read; a response that is
+        // there already is read before the immediate runs.
+        setImmediate(() => this.fail('timeout', `no response within ${request.timeoutMs} ms`));
+      },
+      Math.min(request.timeoutMs, MAX_TIMER_MS),
+    );
     signal?.addEventListener('abort', this.onAbort, { once: true });
     this.listen();
     this.httpRequest.end(request.body);
@@ -243,5 +248,17 @@
   signal: AbortSignal | undefined,
 ): Promise<AttemptResult> =>
   new Promise((resolve) => {
-    Attempt.start(request, context, signal, resolve);
+    try {
+      Attempt.start(request, context, signal, resolve);
+    } catch (error) {
+      // Node refuses some paths, methods and header values before it takes the socket.
+      const detail = describeError(error);
+      const attempt = {
+        kind: 'not-sent',
+        reason: 'invalid-request',
+        detail,
+        durationMs: 0,
+      } as const;
+      resolve({ attempt, isReusable: true, proof: undefined });
+    }
   });
--- a/packages/backendClient/src/types.ts
+++ b/packages/backendClient/src/types.ts
@@ -87,7 +87,7 @@
   /** Nothing was written: proof that the request did not run. */
   | {
       readonly kind: 'not-sent';
-      readonly reason: NoConnectionReason | 'connection-closed';
+      readonly reason: NoConnectionReason | 'connection-closed' | 'expired' | 'invalid-request';
       readonly detail: string;
       readonly durationMs: number;
     }
--- /dev/null
+++ b/packages/backendClient/tests/attemptTypes.test.ts
@@ -0,0 +1,27 @@
+import { expect } from 'chai';
+
+import { decideRetry, observeAttempt } from '@bronzelift/routing';
+
+import type { BackendAttempt } from '../src/index.js';
+
+describe('BackendAttempt', () => {
+  it('fits the decisions of routing, so that no outcome is translated by hand', () => {
+    const attempt = {
+      kind: 'failed-after-send',
+      reason: 'malformed',
+      detail: '',
+      durationMs: 1,
+    } as BackendAttempt;
+    const context = {
+      isOrder: true,
+      mayHaveRun: false,
+      remainingMs: 100,
+      expectedLatencyMs: 1,
+      hasAlternative: true,
+      isCallerPresent: true,
+      takeRetryToken: () => true,
+    };
+    expect(decideRetry(attempt, context).kind).to.equal('answer-unknown');
+    expect(observeAttempt(attempt)).to.deep.equal({ kind: 'failed', failure: 'malformed' });
+  });
+});
--- a/packages/backendClient/tests/backendPool.test.ts
+++ b/packages/backendClient/tests/backendPool.test.ts
@@ -184,6 +184,15 @@
     expect(pool.connections()).to.deep.equal([recent]);
   });
 
+  it('takes a response that arrived while the process was paused beyond the timeout', async () => {
+    server.handler = (socket, request) => {
+      answerBody(socket, request);
+      const resumeAtMs = performance.now() + 100;
+      while (performance.now() < resumeAtMs);
+    };
+    expect((await send({ timeoutMs: 50 })).kind).to.equal('answered');
+  });
+
   it('tells a refusal from an answer', async () => {
     server.handler = (socket, { requestId }) => {
       socket.write(formatAnswer(requestId, 'busy', 'x-not-run: 1\r\n'));
@@ -241,6 +250,9 @@
     expect(onClosed).to.include({ kind: 'not-sent', reason: 'connection-closed' });
     const onGone = await pool.send(createRequest(), await open(), AbortSignal.abort());
     expect(onGone).to.include({ kind: 'not-sent', reason: 'cancelled' });
+    expect(await send({ timeoutMs: 0 })).to.include({ kind: 'not-sent', reason: 'expired' });
+    const invalid = await send({ path: '/\u{1F436}' });
+    expect(invalid).to.include({ kind: 'not-sent', reason: 'invalid-request' });
     const caller = new AbortController();
     const beforeWrite = pool.send(createRequest(), await open(), caller.signal);
     caller.abort();
--- a/packages/observability/src/constants.ts
+++ b/packages/observability/src/constants.ts
@@ -35,6 +35,9 @@
 /** Time between two flushes. */
 export const DEFAULT_FLUSH_INTERVAL_MS = 20;
 
+/** A stop does not wait longer than this for a log reader that has stalled. */
+export const CLOSE_LIMIT_MS = 1_000;
+
 /** Lines formatted in one flush, so that a flush holds the event loop for about 1 ms only. */
 export const MAX_LINES_PER_FLUSH = 500;
 
--- a/packages/observability/src/decisionLog.ts
+++ b/packages/observability/src/decisionLog.ts
@@ -1,9 +1,11 @@
 import { createConsola } from 'consola';
 import type { ConsolaInstance, LogObject } from 'consola';
 
+import { sleep } from '@bronzelift/common';
 import type { Clock } from '@bronzelift/common';
 
 import {
+  CLOSE_LIMIT_MS,
   DEFAULT_FLUSH_INTERVAL_MS,
   DEFAULT_MAX_BUFFERED_LINES,
   LogComponent,
@@ -92,12 +94,13 @@
     this.timer.unref();
   }
 
-  /** Stops the timer and writes what is left. */
-  async close(): Promise<void> {
+  /** Stops the timer and writes what is left; gives up when the sink takes longer than the limit. */
+  async close(limitMs = CLOSE_LIMIT_MS): Promise<void> {
     clearInterval(this.timer);
     this.timer = undefined;
-    await this.flushing;
-    while (this.buffered > 0 || this.unreportedDrops > 0) await this.flushSlice();
+    const limit = new AbortController();
+    await Promise.race([this.flushAll(), sleep(limitMs, limit.signal)]);
+    limit.abort();
   }
 
   /** Formats and writes the next lines, at most MAX_LINES_PER_FLUSH. */
@@ -119,6 +122,11 @@
     return { written: this.writtenLines, dropped: this.droppedLines, buffered: this.buffered };
   }
 
+  private async flushAll(): Promise<void> {
+    await this.flushing;
+    while (this.buffered > 0 || this.unreportedDrops > 0) await this.flushSlice();
+  }
+
   private get buffered(): number {
     return this.buffer.length - this.head;
   }
--- a/packages/observability/tests/decisionLog.test.ts
+++ b/packages/observability/tests/decisionLog.test.ts
@@ -58,5 +58,6 @@
     });
     log.info(LogComponent.daemon, 'second');
     expect(log.counts().buffered).to.equal(1);
+    await log.close(5);
   });
 });
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -51,12 +51,13 @@
 export const DEFAULT_LATENCY_MS = 5;
 
 /**
- * Consecutive failures until ejection. A failed connect and a mismatched response need no second
- * case; server errors can come from one kind of request only; a refusal is an orderly answer.
+ * Consecutive failures until ejection. A failed connect and a response that is mismatched or not
+ * HTTP need no second case; server errors can come from one kind of request only; a refusal is an orderly answer.
  */
 export const FAILURES_UNTIL_EJECTION: Readonly<Record<FailureKind, number>> = {
   'connect-failed': 1,
   mismatched: 1,
+  malformed: 1,
   timeout: 2,
   reset: 2,
   'cut-short': 2,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,5 +5,6 @@
 export * from './hedgeBudget.js';
 export * from './instanceSelector.js';
 export * from './latencyQuantile.js';
+export * from './observeAttempt.js';
 export * from './retryBudget.js';
 export type * from './types.js';
--- /dev/null
+++ b/packages/routing/src/observeAttempt.ts
@@ -0,0 +1,31 @@
+import { assertNever } from '@bronzelift/common';
+
+import type { AttemptObservation, ObservedAttempt } from './types.js';
+
+const FIRST_SERVER_ERROR_STATUS = 500;
+
+const CONNECT_FAILURES: ReadonlySet<string> = new Set(['connect-failed', 'connect-timeout']);
+
+/** What an attempt says about its instance. */
+export const observeAttempt = (attempt: ObservedAttempt): AttemptObservation => {
+  switch (attempt.kind) {
+    case 'not-sent':
+      return CONNECT_FAILURES.has(attempt.reason)
+        ? { kind: 'failed', failure: 'connect-failed' }
+        : { kind: 'abandoned' };
+    case 'refused':
+      return { kind: 'failed', failure: 'refused' };
+    case 'answered':
+      return attempt.response.status >= FIRST_SERVER_ERROR_STATUS
+        ? { kind: 'failed', failure: 'server-error' }
+        : { kind: 'answered', latencyMs: attempt.durationMs };
+    case 'too-large':
+      return { kind: 'answered', latencyMs: attempt.durationMs };
+    case 'failed-after-send':
+      return attempt.reason === 'cancelled'
+        ? { kind: 'abandoned' }
+        : { kind: 'failed', failure: attempt.reason };
+    default:
+      return assertNever(attempt);
+  }
+};
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -27,7 +27,14 @@
 
 /** Ways in which an attempt fails. */
 export type FailureKind =
-  'connect-failed' | 'refused' | 'timeout' | 'reset' | 'cut-short' | 'mismatched' | 'server-error';
+  | 'connect-failed'
+  | 'refused'
+  | 'timeout'
+  | 'reset'
+  | 'cut-short'
+  | 'mismatched'
+  | 'malformed'
+  | 'server-error';
 
 /** End of an attempt at an instance. */
 export type AttemptObservation =
@@ -36,6 +43,22 @@
   /** The attempt says nothing about the instance, for example the caller went away. */
   | { readonly kind: 'abandoned' };
 
+/** End of an attempt as far as the instance is concerned; matches `BackendAttempt`. */
+export type ObservedAttempt =
+  | { readonly kind: 'not-sent'; readonly reason: string }
+  | { readonly kind: 'refused' }
+  | {
+      readonly kind: 'answered';
+      readonly durationMs: number;
+      readonly response: { readonly status: number };
+    }
+  | { readonly kind: 'too-large'; readonly durationMs: number }
+  | {
+      readonly kind: 'failed-after-send';
+      readonly reason:
+        Exclude<FailureKind, 'connect-failed' | 'refused' | 'server-error'> | 'cancelled';
+    };
+
 /** An attempt in flight; `end` counts once. */
 export interface AttemptHandle {
   readonly instanceId: InstanceId;
--- a/packages/routing/tests/instanceSelector.test.ts
+++ b/packages/routing/tests/instanceSelector.test.ts
@@ -41,6 +41,7 @@
   'reset',
   'cut-short',
   'mismatched',
+  'malformed',
   'server-error',
 ];
 
