--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,6 +12,8 @@
   ...configs.node.recommended,
   prettier,
   {
+    // The root manifest states the supported version; the rule looks at the package's own.
+    settings: { node: { version: '>=20.18.0' } },
     languageOptions: {
       parserOptions: { projectService: { allowDefaultProject: ['eslint.config.js'] } },
     },
--- a/packages/backendClient/src/backendPool.ts
+++ b/packages/backendClient/src/backendPool.ts
@@ -67,6 +67,20 @@
     return undefined;
   }
 
+  /** Idle connections, the one used last first. */
+  idleConnections(): BackendConnection[] {
+    return this.idle.filter((connection) => connection.isOpen).reverse();
+  }
+
+  /** Reserves one certain idle connection; false when it is no longer idle. */
+  take(connection: BackendConnection): boolean {
+    const index = this.idle.indexOf(connection as PoolConnection);
+    if (index < 0 || !connection.isOpen) return false;
+    const [taken] = this.idle.splice(index, 1);
+    this.reserve(taken!);
+    return true;
+  }
+
   /** Gives back a reserved connection that was not used. */
   release(connection: BackendConnection): void {
     const known = this.findReserved(connection);
--- a/packages/common/src/constants.ts
+++ b/packages/common/src/constants.ts
@@ -28,6 +28,7 @@
   targetIncarnation: 'bronzelift-target-incarnation',
   deadlineAtMs: 'bronzelift-deadline-at-ms',
   freeSlots: 'bronzelift-free-slots',
+  mayWait: 'bronzelift-may-wait',
 } as const;
 
 /** Prefix of the paths that the entry daemon answers itself. */
--- a/packages/entryDaemon/src/callerRequest.ts
+++ b/packages/entryDaemon/src/callerRequest.ts
@@ -32,11 +32,17 @@
 const readWholeNumber = (text: string | undefined): number | undefined =>
   text !== undefined && WHOLE_NUMBER_PATTERN.test(text) ? Number(text) : undefined;
 
-const firstValue = (value: string | string[] | undefined): string | undefined =>
-  Array.isArray(value) ? value[0] : value;
+const firstValue = (value: string | readonly string[] | undefined): string | undefined =>
+  typeof value === 'object' ? value[0] : value;
+
+/** Method and headers of a request. */
+export interface MessageHead {
+  readonly method?: string | undefined;
+  readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
+}
 
 /** Reads service, path, deadline, depth and key from a request to `/<service>/<path>`. */
-export const readRequestHead = (message: IncomingMessage, url: string): HeadResult => {
+export const readRequestHead = (message: MessageHead, url: string): HeadResult => {
   const match = SERVICE_PATTERN.exec(url);
   if (!match) return { kind: 'refused', code: 'bad-request' };
   const rest = match[2] ?? '/';
--- a/packages/entryDaemon/src/constants.ts
+++ b/packages/entryDaemon/src/constants.ts
@@ -46,11 +46,54 @@
 /** How often the daemon refreshes rights, connections and probes. */
 export const MAINTENANCE_INTERVAL_MS = 100;
 
-/** A probe is sent when an owned instance has not answered for this long. */
-export const PROBE_AFTER_SILENCE_MS = 1_000;
+/** Backend time that a probe and a new connection cost, in milliseconds. */
+export const PROBE_COST_MS = 6;
+export const CONNECTION_COST_MS = 1;
+
+/** A connection without a response for this long is probed, as far as the budget allows. */
+export const PROBE_INTERVAL_MS = 1_000;
+
+/** A probe without a response by then counts as failed. */
+export const PROBE_TIMEOUT_MS = 1_000;
+
+/** Orders prefer connections that were proven live within this time. */
+export const PROVEN_CONNECTION_MS = 2_000;
+
+/** Without a better one, orders take a connection proven within this time. */
+export const USABLE_UNPROVEN_MS = 10_000;
+
+/** Work sent to a target that has been known to be out for longer violates an invariant. */
+export const OUT_GRACE_MS = 3_000;
 
 /** Wait between the announcement of a shutdown and the end of service, beyond keepForMs. */
 export const SHUTDOWN_EXTRA_MS = 1_000;
 
 /** Limit of the wait for requests in flight at shutdown. */
 export const SHUTDOWN_DRAIN_LIMIT_MS = 60_000;
+
+/** Peers that a request is offered to, one after the other. */
+export const MAX_FORWARDS = 2;
+
+/** Longest wait for a slot between two looks, in milliseconds. */
+export const SLOT_WAIT_MS = 50;
+
+/** Attempts at one request, proven not to have run or covered by the retry budget. */
+export const MAX_ATTEMPTS = 6;
+
+/** Idle connections of callers and peers are kept for this long. */
+export const KEEP_ALIVE_MS = 65_000;
+
+/** Pause between two join records of a member that is not in the roster yet. */
+export const JOIN_RETRY_MS = 2_000;
+
+/** Time for which heartbeats tell that an instance was seen cold. */
+export const COLD_NOTICE_MS = 2_000;
+
+/** Limit of each step of leaving: handover, record and announcement. */
+export const LEAVE_LIMIT_MS = 2_000;
+
+/** Limit of one connection that checks whether a member is gone. */
+export const CONFIRM_TIMEOUT_MS = 300;
+
+/** Older observations of an owner are not reported; they would prove nothing. */
+export const MAX_OBSERVATION_AGE_MS = 600_000;
--- /dev/null
+++ b/packages/entryDaemon/src/entryDaemon.ts
@@ -0,0 +1,574 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { once } from 'node:events';
+
+import type { Clock, Endpoint, InstanceId, RandomSource } from '@bronzelift/common';
+import {
+  StepError,
+  createIncarnation,
+  describeError,
+  formatEndpoint,
+  formatMember,
+  sleep,
+} from '@bronzelift/common';
+import type { ControlState } from '@bronzelift/control-log';
+import { decodeState, encodeState, findMember, isTakenOut } from '@bronzelift/control-log';
+import { AddressBook, KEEP_FOR_MS, VmListReader, formatTicket } from '@bronzelift/membership';
+import type { RosterMember } from '@bronzelift/membership';
+import { DecisionLog, Invariants, LogComponent, Metrics } from '@bronzelift/observability';
+import { InstanceObservationSchema, Phase, ServiceLoadSchema } from '@bronzelift/protocol';
+import type { InstanceObservation, ServiceLoad } from '@bronzelift/protocol';
+import type { EntrySettings } from '@bronzelift/settings';
+import { create } from '@bufbuild/protobuf';
+
+import { createAdminServer } from './adminServer.js';
+import { CallerServer } from './callerServer.js';
+import {
+  COLD_NOTICE_MS,
+  LEAVE_LIMIT_MS,
+  MAINTENANCE_INTERVAL_MS,
+  KEEP_ALIVE_MS,
+  MAX_HEADER_BYTES,
+  MAX_OBSERVATION_AGE_MS,
+  PAUSE_THRESHOLD_MS,
+  SHUTDOWN_DRAIN_LIMIT_MS,
+  SHUTDOWN_EXTRA_MS,
+} from './constants.js';
+import { ControlPlane } from './controlPlane.js';
+import { ForwardServer } from './forwardServer.js';
+import { MemberSession } from './memberSession.js';
+import { OrderService } from './orderService.js';
+import { PeerForwarder } from './peerForwarder.js';
+import { RequestRunner } from './requestRunner.js';
+import type { ReachablePeer } from './requestRunner.js';
+import { createSendGate } from './sendGate.js';
+import { SlotDirectory } from './slotDirectory.js';
+import type { EpochState } from './slotDirectory.js';
+
+/** What a daemon takes from its process. */
+export interface EntryDaemonOptions {
+  readonly settings: EntrySettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+const listen = async (server: Server, endpoint: Endpoint, step: string): Promise<void> => {
+  server.listen(endpoint.port, endpoint.host);
+  try {
+    await once(server, 'listening');
+  } catch (error) {
+    throw StepError.create(step, formatEndpoint(endpoint), describeError(error), error);
+  }
+};
+
+const createObservation = (
+  instanceId: InstanceId,
+  allowance: number,
+  ageMs: number,
+  cold = false,
+): InstanceObservation =>
+  create(InstanceObservationSchema, {
+    instanceId,
+    allowance,
+    ageMs: Math.ceil(Math.min(ageMs, MAX_OBSERVATION_AGE_MS)),
+    cold,
+  });
+
+/** The entry daemon: servers, request path, membership and control plane of one entry VM. */
+export class EntryDaemon {
+  readonly log: DecisionLog;
+
+  private readonly metrics = Metrics.create();
+
+  private readonly invariants: Invariants;
+
+  private readonly control: ControlPlane;
+
+  private readonly slots: SlotDirectory;
+
+  private readonly runner: RequestRunner;
+
+  private readonly forwarder: PeerForwarder;
+
+  private readonly forwards: ForwardServer;
+
+  private readonly orders: OrderService;
+
+  private readonly callers: CallerServer;
+
+  private readonly addresses: AddressBook;
+
+  private session: MemberSession;
+
+  private vmList: VmListReader | undefined;
+
+  private peerServer: Server | undefined;
+
+  private adminServer: Server | undefined;
+
+  private phase = Phase.JOINING;
+
+  private isRefusingWork = false;
+
+  private wasMember = false;
+
+  private requestCount = 0;
+
+  private lastTickMs: number;
+
+  private readonly coldSeenAtMs = new Map<InstanceId, number>();
+
+  private readonly stopping = new AbortController();
+
+  private constructor(private readonly options: EntryDaemonOptions) {
+    const { clock, random, settings } = options;
+    this.lastTickMs = clock.monotonicMs();
+    this.log = DecisionLog.create({ clock });
+    this.invariants = Invariants.create({ clock, log: this.log, metrics: this.metrics });
+    this.session = this.createSession();
+    const gate = createSendGate(
+      () => this.session.lease,
+      () => this.control.state.configurationVersion > 0,
+    );
+    this.slots = SlotDirectory.create({
+      clock,
+      random,
+      log: this.log,
+      invariants: this.invariants,
+      ownVmId: settings.entry.vmId,
+      ownDomainId: settings.entry.failureDomainId,
+      gate,
+      currentLease: () => this.session.lease,
+      onCold: (instanceId, reason) => this.noteCold(instanceId, reason),
+    });
+    this.control = ControlPlane.create({
+      clock,
+      random,
+      log: this.log,
+      invariants: this.invariants,
+      settings,
+      clientId: settings.entry.vmId,
+      onState: (state, epochs) => this.adoptState(state, epochs),
+    });
+    this.forwarder = PeerForwarder.create(clock, () => this.session.self);
+    const findService = (name: string) => this.slots.findService(name);
+    this.runner = RequestRunner.create({
+      clock,
+      random,
+      log: this.log,
+      metrics: this.metrics,
+      gate,
+      forwarder: this.forwarder,
+      findService,
+      findPeer: (vmId) => this.findPeer(vmId),
+    });
+    this.addresses = AddressBook.create(clock, random);
+    this.orders = OrderService.create({
+      clock,
+      log: this.log,
+      runner: this.runner,
+      invariants: this.invariants,
+      ownVmId: settings.entry.vmId,
+      currentSession: () => this.session,
+      issueTicket: (avoid) => this.issueTicket(avoid),
+      findEndpoint: (vmId, incarnation) => this.findPeerEndpoint(vmId, incarnation),
+      nextRequestId: () => this.nextRequestId(),
+    });
+    this.forwards = ForwardServer.create({
+      clock,
+      random,
+      runner: this.runner,
+      findService,
+      nextRequestId: () => this.nextRequestId(),
+      ownIncarnation: () => this.session.self.incarnation,
+      isMember: (formatted) => this.isRosterMember(formatted),
+    });
+    this.callers = CallerServer.create({
+      clock,
+      random,
+      log: this.log,
+      metrics: this.metrics,
+      runner: this.runner,
+      orders: this.orders.coordinator,
+      answerAddresses: () => this.addresses.answer(this.candidates()),
+      issueTicket: () => this.issueTicket(),
+      findService,
+      nextRequestId: () => this.nextRequestId(),
+      isStopping: () => this.isRefusingWork,
+    });
+  }
+
+  /** Creates a daemon; it runs after `start`. */
+  static create(options: EntryDaemonOptions): EntryDaemon {
+    return new EntryDaemon(options);
+  }
+
+  /** Opens the ports and starts all tasks; rejects with a StepError when a port is in use. */
+  async start(): Promise<void> {
+    const { settings } = this.options;
+    this.log.start();
+    this.peerServer = createServer(
+      { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true },
+      (message, response) => {
+        this.session.listener(message, response);
+      },
+    );
+    this.peerServer.keepAliveTimeout = KEEP_ALIVE_MS;
+    this.adminServer = createAdminServer({
+      status: () => this.status(),
+      metricsText: () => this.metrics.formatPrometheus(),
+      metricsJson: () => this.metrics.snapshot(),
+    });
+    await listen(this.peerServer, settings.peer, 'open peer port');
+    await listen(this.adminServer, settings.admin, 'open admin port');
+    await listen(this.callers.server, settings.caller, 'open caller port');
+    this.control.start();
+    this.vmList = VmListReader.start({
+      endpoint: settings.vmList.address,
+      expectedVmIds: () => this.control.state.members.map(({ vmId }) => vmId),
+      onList: () => this.applyAvailability(),
+      onLeaving: (vmId) => this.log.info(LogComponent.member, 'VM is leaving', { vmId }),
+      onGone: (vmId) => this.noteVmGone(vmId),
+      onError: (error) =>
+        this.log.warn(LogComponent.member, 'VM list failed', { error: error.message }),
+      intervalMs: settings.vmList.pollIntervalMs,
+    });
+    this.log.info(LogComponent.daemon, 'started', {
+      member: formatMember(this.session.self),
+      domain: settings.entry.failureDomainId,
+      callers: formatEndpoint(settings.caller),
+    });
+    this.maintainUntilStopped().catch((error: unknown) => {
+      this.log.error(LogComponent.daemon, 'maintenance failed', { error: describeError(error) });
+    });
+  }
+
+  /** Planned shutdown: serves callers that keep the address, finishes its work, and leaves. */
+  async stop(): Promise<void> {
+    this.log.info(LogComponent.daemon, 'shutdown begins');
+    this.phase = Phase.LEAVING;
+    this.session.heartbeats.sendNow();
+    await sleep(KEEP_FOR_MS + SHUTDOWN_EXTRA_MS);
+    this.isRefusingWork = true;
+    const isDrained = await this.waitUntilIdle();
+    if (!isDrained) this.log.warn(LogComponent.daemon, 'requests still in flight at the limit');
+    const handover = await this.orders.coordinator.handOver(LEAVE_LIMIT_MS);
+    this.log.info(LogComponent.order, 'orders handed over', {
+      entries: handover.entries,
+      failed: handover.failed.length,
+    });
+    await this.control.leave(this.session.self, LEAVE_LIMIT_MS);
+    this.phase = Phase.STOPPED;
+    await this.session.stop(LEAVE_LIMIT_MS);
+    this.stopping.abort();
+    await this.vmList?.stop();
+    await this.control.stop();
+    this.slots.close();
+    this.forwarder.close();
+    this.orders.close();
+    for (const server of [this.callers.server, this.peerServer, this.adminServer]) {
+      server?.close();
+      server?.closeAllConnections();
+    }
+    this.log.info(LogComponent.daemon, 'shutdown complete');
+    await this.log.close();
+  }
+
+  /** State for the admin port. */
+  status(): Record<string, unknown> {
+    const { state } = this.control;
+    const { lease } = this.session;
+    const lastReadMs = this.control.reader.lastReadStartedAtMs;
+    return {
+      vmId: this.session.self.vmId,
+      incarnation: this.session.self.incarnation,
+      failureDomainId: this.session.self.failureDomainId,
+      phase: Phase[this.phase].toLowerCase(),
+      isReady: this.phase === Phase.SERVING && lease.isLeaseHeld(),
+      configurationVersion: state.configurationVersion,
+      drainRevision: state.drainRevision,
+      takenOut: state.takenOut,
+      logAgeMs: lastReadMs === undefined ? undefined : this.now() - lastReadMs,
+      epoch: lease.epoch,
+      members: state.members.length,
+      isLeaseHeld: lease.isLeaseHeld(),
+      leaseRemainingMs: lease.leaseRemainingMs(),
+      freshnessRemainingMs: lease.freshnessRemainingMs(),
+      isSettled: lease.isSettled(),
+      services: this.slots.allServices().map((service) => ({
+        service: service.name,
+        ...service.queue.stats(),
+        freeSlots: service.freeSlots(),
+      })),
+      instances: this.slots.allInstances().map((one) => one.status()),
+      orders: this.orders.coordinator.stats(),
+      violations: this.invariants.snapshot().counts,
+      latestViolations: this.invariants.snapshot().latest,
+      logLines: this.log.counts(),
+    };
+  }
+
+  private now(): number {
+    return this.options.clock.monotonicMs();
+  }
+
+  private nextRequestId(): string {
+    this.requestCount += 1;
+    return `${this.session.self.incarnation}-${this.requestCount.toString(36)}`;
+  }
+
+  private createSession(): MemberSession {
+    const { clock, random, settings } = this.options;
+    const self: RosterMember = {
+      vmId: settings.entry.vmId,
+      incarnation: createIncarnation(clock, random),
+      failureDomainId: settings.entry.failureDomainId,
+      callerEndpoint: settings.caller,
+      peerEndpoint: settings.peer,
+    };
+    return MemberSession.create({
+      clock,
+      random,
+      log: this.log,
+      self,
+      controlState: () => this.control.state,
+      stateJson: () => encodeState(this.control.state),
+      phase: () => this.phase,
+      logAgeMs: () => this.now() - (this.control.reader.lastReadStartedAtMs ?? 0),
+      serviceLoads: () => this.serviceLoads(),
+      observations: () => this.observations(),
+      onPeerState: (json) => this.takePeerState(json),
+      onObservations: (observations, sentAtMs) => this.takeObservations(observations, sentAtMs),
+      onLoads: (vmId, loads) => {
+        for (const load of loads) {
+          this.slots.findService(load.service)?.peers.report(vmId, load.freeSlots);
+        }
+      },
+      fallback: (message, response) => {
+        this.handlePeerRequest(message, response).catch((error: unknown) => {
+          this.log.error(LogComponent.daemon, 'peer request failed', {
+            error: describeError(error),
+          });
+          response.destroy();
+        });
+      },
+    });
+  }
+
+  private async handlePeerRequest(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = message.url ?? '/';
+    const runPrefix = '/peer/v1/forward/run';
+    if (url.startsWith(`${runPrefix}/`)) {
+      await this.forwards.handle(message, response, url.slice(runPrefix.length));
+      return;
+    }
+    await this.orders.handlePeerRequest(message, response);
+  }
+
+  private async maintainUntilStopped(): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      await sleep(MAINTENANCE_INTERVAL_MS, signal);
+      if (!signal.aborted) this.tick();
+    }
+  }
+
+  private tick(): void {
+    const nowMs = this.now();
+    const gapMs = nowMs - this.lastTickMs - MAINTENANCE_INTERVAL_MS;
+    this.lastTickMs = nowMs;
+    const isPause = gapMs > PAUSE_THRESHOLD_MS;
+    if (isPause)
+      this.log.warn(LogComponent.daemon, 'process was paused', { gapMs: Math.round(gapMs) });
+    this.session.observeLoopGap(gapMs, isPause);
+    const lastReadMs = this.control.reader.lastReadStartedAtMs;
+    if (lastReadMs !== undefined) this.session.lease.recordLogRead(lastReadMs);
+    this.updateMembership();
+    this.slots.adoptPending();
+    this.session.followRoster(
+      this.session.lease.currentRoster?.members ?? this.control.state.members,
+    );
+    this.slots.maintain();
+  }
+
+  private updateMembership(): void {
+    const { self, lease } = this.session;
+    const known = findMember(this.control.state, self.vmId);
+    const isMember = known?.incarnation === self.incarnation;
+    if (this.wasMember && !isMember && this.phase !== Phase.STOPPED) {
+      this.startNewIncarnation();
+      return;
+    }
+    this.wasMember = isMember;
+    if (this.phase === Phase.JOINING && isMember && lease.isLeaseHeld()) this.phase = Phase.SERVING;
+    if (this.phase === Phase.JOINING || this.phase === Phase.SERVING) {
+      this.control.joinWhenMissing(self);
+    }
+    for (const eviction of this.session.decideEvictions()) this.control.evict(eviction);
+  }
+
+  /** An evicted incarnation must not act any more: its slots and orders may be with others. */
+  private startNewIncarnation(): void {
+    this.log.warn(LogComponent.member, 'evicted; taking a new incarnation', {
+      member: formatMember(this.session.self),
+    });
+    this.orders.coordinator.discardIncarnation();
+    const former = this.session;
+    former.stop(0).catch(() => undefined);
+    this.phase = Phase.JOINING;
+    this.wasMember = false;
+    this.session = this.createSession();
+    this.slots.discardRights();
+    this.takeRoster(this.control.state, []);
+  }
+
+  private adoptState(state: ControlState, epochs: readonly EpochState[]): void {
+    this.log.info(LogComponent.config, 'state in force', {
+      version: state.configurationVersion,
+      drainRevision: state.drainRevision,
+      epoch: state.epoch,
+    });
+    this.applyAvailability();
+    this.takeRoster(state, epochs);
+    this.session.heartbeats.sendNow();
+  }
+
+  private takeRoster(state: ControlState, epochs: readonly EpochState[]): void {
+    const { epoch, members, configuration, configurationVersion, drainRevision } = state;
+    this.session.lease.recordCounters({ configurationVersion, drainRevision });
+    this.slots.enqueueEpochs([...epochs, { epoch, members, configuration }]);
+    for (const service of this.slots.allServices()) {
+      service.peers.setPeers(members.filter(({ vmId }) => vmId !== this.session.self.vmId));
+    }
+  }
+
+  /** Applies configuration, targets taken out and leaving VMs to the instances. */
+  private applyAvailability(): void {
+    const { state } = this.control;
+    const outDomains = new Set(
+      state.configuration.domains.filter((one) => one.state === 'out').map(({ id }) => id),
+    );
+    this.slots.applyConfiguration(state.configuration, (instance) => {
+      if (instance.state === 'out' || outDomains.has(instance.failureDomainId)) return true;
+      if (isTakenOut(state, `domain:${instance.failureDomainId}`)) return true;
+      if (isTakenOut(state, `vm:${instance.vmId}`)) return true;
+      return this.vmList?.isLeaving(instance.vmId) ?? false;
+    });
+  }
+
+  private takePeerState(json: string): void {
+    const decoded = decodeState(json);
+    if (decoded.err) {
+      this.log.warn(LogComponent.config, 'state of a peer is malformed', { error: decoded.val });
+      return;
+    }
+    this.control.reader.adoptPeerState(decoded.val);
+  }
+
+  private serviceLoads(): ServiceLoad[] {
+    const isServing = this.phase === Phase.SERVING;
+    return this.slots.allServices().map((service) => {
+      const { queuedLookups, queuedOrders } = service.queue.stats();
+      return create(ServiceLoadSchema, {
+        service: service.name,
+        freeSlots: isServing ? service.freeSlots() : 0,
+        queued: queuedLookups + queuedOrders,
+      });
+    });
+  }
+
+  /** Allowances of owned instances, and instances that were lately seen cold. */
+  private observations(): InstanceObservation[] {
+    const owned = this.slots
+      .allInstances()
+      .filter(({ id }) => this.slots.isOwner(id))
+      .map(({ id, allowance }) => createObservation(id, allowance.allowed, allowance.ageMs()))
+      .filter(({ ageMs }) => ageMs < MAX_OBSERVATION_AGE_MS);
+    const nowMs = this.now();
+    for (const [id, seenAtMs] of this.coldSeenAtMs) {
+      if (nowMs - seenAtMs > COLD_NOTICE_MS) this.coldSeenAtMs.delete(id);
+    }
+    const cold = [...this.coldSeenAtMs].map(([id, seenAtMs]) =>
+      createObservation(id, 0, nowMs - seenAtMs, true),
+    );
+    return [...owned, ...cold];
+  }
+
+  private takeObservations(
+    observations: readonly InstanceObservation[],
+    sentAtMs: number | undefined,
+  ): void {
+    for (const { instanceId, allowance, ageMs, cold } of observations) {
+      const runtime = this.slots.findInstance(instanceId);
+      if (!runtime) continue;
+      if (cold) runtime.allowance.recordPeerCold(this.now() - ageMs);
+      else if (sentAtMs !== undefined) {
+        runtime.allowance.recordOwnerReport({ allowance, observedAtMs: sentAtMs - ageMs });
+      }
+    }
+  }
+
+  private noteCold(instanceId: InstanceId, reason: string): void {
+    this.log.info(LogComponent.slots, 'instance is cold', { instance: instanceId, reason });
+    this.coldSeenAtMs.set(instanceId, this.now());
+    this.slots.refresh();
+    this.session.heartbeats.sendNow();
+  }
+
+  private noteVmGone(vmId: string): void {
+    const member = findMember(this.control.state, vmId);
+    if (member) this.session.noteGone(member, 'vm-gone');
+  }
+
+  private candidates() {
+    const { state } = this.control;
+    return this.session.candidates(
+      (member) =>
+        isTakenOut(state, `domain:${member.failureDomainId}`) ||
+        isTakenOut(state, `vm:${member.vmId}`) ||
+        (this.vmList?.isLeaving(member.vmId) ?? false),
+    );
+  }
+
+  private issueTicket(avoid?: {
+    readonly vmId: string;
+    readonly incarnation: string;
+  }): string | undefined {
+    const { self } = this.session;
+    if (!this.session.isServing(self)) return this.addresses.answer(this.candidates())?.ticket;
+    const witness = this.addresses.chooseWitness(self, this.candidates(), avoid ? [avoid] : []);
+    return formatTicket({ home: self, witness, issuedAtMs: this.options.clock.wallMs() });
+  }
+
+  private findPeer(vmId: string): ReachablePeer | undefined {
+    const member = findMember(this.control.state, vmId);
+    if (!member || !this.session.isServing(member)) return undefined;
+    return { ...member, endpoint: member.peerEndpoint };
+  }
+
+  private findPeerEndpoint(vmId: string, incarnation: string): Endpoint | undefined {
+    const current = findMember(this.control.state, vmId);
+    if (current?.incarnation === incarnation) return current.peerEndpoint;
+    const former = this.session.lease
+      .unsettledMembers()
+      .find((member) => member.vmId === vmId && member.incarnation === incarnation);
+    return former?.peerEndpoint ?? current?.peerEndpoint;
+  }
+
+  private isRosterMember(formatted: string): boolean {
+    const roster = this.session.lease.currentRoster;
+    return roster?.members.some((member) => formatMember(member) === formatted) ?? false;
+  }
+
+  private async waitUntilIdle(): Promise<boolean> {
+    const endsAtMs = this.now() + SHUTDOWN_DRAIN_LIMIT_MS;
+    while (this.callers.inFlight + this.forwards.inFlight + this.orders.inFlight > 0) {
+      if (this.now() > endsAtMs) return false;
+      await sleep(MAINTENANCE_INTERVAL_MS / 4);
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/entryDaemon/src/forwardServer.ts
@@ -0,0 +1,116 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type { Clock, RandomSource } from '@bronzelift/common';
+import { PeerHeader } from '@bronzelift/common';
+
+import { writeAnswer } from './answers.js';
+import {
+  readBody,
+  readForwardedDeadline,
+  readRequestHead,
+  spreadRetryAfterMs,
+  toMonotonicMs,
+} from './callerRequest.js';
+import type { RequestRunner } from './requestRunner.js';
+import type { ServiceRuntime } from './serviceRuntime.js';
+import type { WorkRequest } from './types.js';
+
+/** Parameters of the handler of forwarded requests. */
+export interface ForwardServerOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly runner: RequestRunner;
+  readonly findService: (name: string) => ServiceRuntime | undefined;
+  readonly nextRequestId: () => string;
+  readonly ownIncarnation: () => string;
+  /** Whether `vmId@incarnation` is a member of the current roster. */
+  readonly isMember: (formatted: string) => boolean;
+}
+
+/** Runs requests that other entry VMs have forwarded, on own slots only. */
+export class ForwardServer {
+  private inFlightCount = 0;
+
+  private constructor(private readonly options: ForwardServerOptions) {}
+
+  /** Creates the handler. */
+  static create(options: ForwardServerOptions): ForwardServer {
+    return new ForwardServer(options);
+  }
+
+  /** Requests without an answer yet. */
+  get inFlight(): number {
+    return this.inFlightCount;
+  }
+
+  /** Handles a request to `/<service>/<path>` that was forwarded to be run here. */
+  async handle(message: IncomingMessage, response: ServerResponse, url: string): Promise<void> {
+    this.inFlightCount += 1;
+    try {
+      await this.run(message, response, url);
+    } finally {
+      this.inFlightCount -= 1;
+    }
+  }
+
+  private async run(
+    message: IncomingMessage,
+    response: ServerResponse,
+    url: string,
+  ): Promise<void> {
+    const refusal = this.findRefusal(message);
+    const read = readRequestHead(message, url);
+    const deadlineAtWallMs = readForwardedDeadline(message);
+    const service = read.kind === 'head' ? this.options.findService(read.head.service) : undefined;
+    if (refusal || read.kind === 'refused' || !service || deadlineAtWallMs === undefined) {
+      const code = refusal ?? (read.kind === 'refused' ? read.code : 'unknown-service');
+      response.setHeader('connection', 'close');
+      this.refuse(response, code);
+      return;
+    }
+    const body = await readBody(message, service.configuration.maxBodyBytes);
+    if (body.kind === 'aborted') return;
+    if (body.kind === 'too-large') {
+      response.setHeader('connection', 'close');
+      this.refuse(response, 'too-large');
+      return;
+    }
+    // Checked after the body: this process may have been paused in between.
+    if (deadlineAtWallMs <= this.options.clock.wallMs()) {
+      this.refuse(response, 'deadline-passed');
+      return;
+    }
+    const sender = new AbortController();
+    response.once('close', () => {
+      if (!response.writableFinished) sender.abort();
+    });
+    const work: WorkRequest = {
+      ...read.head,
+      requestId: this.options.nextRequestId(),
+      method: message.method ?? 'GET',
+      headers: message.headers,
+      body: body.body,
+      deadlineAtMs: toMonotonicMs(this.options.clock, deadlineAtWallMs),
+      deadlineAtWallMs,
+      signal: sender.signal,
+      mayForward: false,
+      mayWait: message.headers[PeerHeader.mayWait] === '1',
+    };
+    const result = await this.options.runner.run(work);
+    writeAnswer(response, result, { [PeerHeader.freeSlots]: service.freeSlots() });
+  }
+
+  /** A sender that is no member may have lost its lease, and with it the right to its orders. */
+  private findRefusal(message: IncomingMessage): string | undefined {
+    const target = message.headers[PeerHeader.targetIncarnation];
+    if (target !== this.options.ownIncarnation()) return 'wrong-incarnation';
+    const sender = message.headers[PeerHeader.forwardedBy];
+    const isKnown = typeof sender === 'string' && this.options.isMember(sender);
+    return isKnown ? undefined : 'not-a-member';
+  }
+
+  private refuse(response: ServerResponse, code: string): void {
+    const retryAfterMs = spreadRetryAfterMs(this.options.random);
+    writeAnswer(response, { kind: 'not-run', code, retryAfterMs });
+  }
+}
--- a/packages/entryDaemon/src/index.ts
+++ b/packages/entryDaemon/src/index.ts
@@ -1,4 +1,1 @@
-export * from './answers.js';
-export * from './callerRequest.js';
-export * from './constants.js';
-export * from './types.js';
+export * from './entryDaemon.js';
--- /dev/null
+++ b/packages/entryDaemon/src/memberSession.ts
@@ -0,0 +1,197 @@
+import type { RequestListener } from 'node:http';
+
+import type { Clock, MemberId, RandomSource, VmId } from '@bronzelift/common';
+import { formatMember, isSameMember } from '@bronzelift/common';
+import type { ControlState } from '@bronzelift/control-log';
+import {
+  EvictionPolicy,
+  HeartbeatService,
+  MemberLease,
+  toPeerReport,
+} from '@bronzelift/membership';
+import type {
+  AddressCandidate,
+  Eviction,
+  GoneReason,
+  RosterMember,
+  StatusSource,
+} from '@bronzelift/membership';
+import { LogComponent } from '@bronzelift/observability';
+import type { DecisionLog } from '@bronzelift/observability';
+import { MemberStatusSchema, Phase } from '@bronzelift/protocol';
+import type { InstanceObservation, MemberStatus, ServiceLoad } from '@bronzelift/protocol';
+import { create } from '@bufbuild/protobuf';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+
+/** What a session needs from the daemon. */
+export interface MemberSessionOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: DecisionLog;
+  readonly self: RosterMember;
+  readonly controlState: () => ControlState;
+  readonly stateJson: () => string;
+  readonly phase: () => Phase;
+  readonly logAgeMs: () => number;
+  readonly serviceLoads: () => ServiceLoad[];
+  readonly observations: () => InstanceObservation[];
+  readonly onPeerState: (stateJson: string) => void;
+  /** Observations of a peer; the time is set for answers to own heartbeats only. */
+  readonly onObservations: (
+    observations: readonly InstanceObservation[],
+    sentAtMs: number | undefined,
+  ) => void;
+  readonly onLoads: (vmId: VmId, loads: readonly ServiceLoad[]) => void;
+  /** Handles requests on the peer port that are no control messages. */
+  readonly fallback: RequestListener;
+}
+
+interface KnownPeer {
+  readonly status: MemberStatus;
+  readonly heardAtMs: number;
+}
+
+/** Membership under one incarnation: lease, heartbeats and what the peers said. */
+export class MemberSession {
+  readonly lease: MemberLease;
+
+  readonly heartbeats: HeartbeatService;
+
+  /** Listener of the peer port. */
+  readonly listener: RequestListener;
+
+  private readonly policy: EvictionPolicy;
+
+  private readonly peers = new Map<VmId, KnownPeer>();
+
+  private constructor(private readonly options: MemberSessionOptions) {
+    const { clock, random, self, log } = options;
+    this.lease = MemberLease.create(clock, self);
+    this.policy = EvictionPolicy.create(clock, self);
+    this.heartbeats = HeartbeatService.create({
+      clock,
+      random,
+      self,
+      status: () => this.ownStatus(),
+      counters: () => ({
+        epoch: options.controlState().epoch,
+        configurationVersion: options.controlState().configurationVersion,
+        drainRevision: options.controlState().drainRevision,
+      }),
+      shouldGrant: (senderEpoch) => this.lease.shouldGrant(senderEpoch),
+      stateJson: options.stateJson,
+      onPeerStatus: (status, source) => this.receive(status, source),
+      onPeerAhead: (_, stateJson) => options.onPeerState(stateJson),
+      onPeerBehind: () => {},
+      onGone: (member, reason) => this.noteGone(member, reason),
+      onError: (member, error) =>
+        log.warn(LogComponent.member, 'heartbeat failed', {
+          peer: formatMember(member),
+          error: error.message,
+        }),
+    });
+    this.listener = connectNodeAdapter({
+      routes: this.heartbeats.routes,
+      fallback: options.fallback as never,
+    });
+  }
+
+  /** Creates the membership of one incarnation; it is in no roster yet. */
+  static create(options: MemberSessionOptions): MemberSession {
+    return new MemberSession(options);
+  }
+
+  get self(): RosterMember {
+    return this.options.self;
+  }
+
+  /** Sends heartbeats to the members of a roster, and to former ones that are not settled. */
+  followRoster(members: readonly RosterMember[]): void {
+    this.heartbeats.setPeers([...members, ...this.lease.unsettledMembers()]);
+  }
+
+  /** Takes proof that a member has stopped. */
+  noteGone(member: MemberId, reason: GoneReason): void {
+    const sentence = this.lease.recordGone(member, reason);
+    if (sentence) this.options.log.info(LogComponent.member, sentence);
+  }
+
+  /** Takes an event loop gap in milliseconds. */
+  observeLoopGap(gapMs: number, isPause: boolean): void {
+    this.lease.observeLoopGap(gapMs);
+    if (!isPause) return;
+    this.policy.recordPause();
+    this.heartbeats.sendNow();
+  }
+
+  /** Members that should be evicted now. */
+  decideEvictions(): Eviction[] {
+    return this.policy.decide({
+      members: this.options.controlState().members,
+      isLeaseHeld: this.lease.isLeaseHeld(),
+      isConfirmedGone: (member) => this.lease.isGone(member),
+    });
+  }
+
+  /** Milliseconds since a member was heard; 0 for this one. */
+  silentMs(member: MemberId): number {
+    if (isSameMember(member, this.options.self)) return 0;
+    return this.policy.silentMs(member);
+  }
+
+  /** Candidates for the answer to callers. */
+  candidates(isTakenOut: (member: RosterMember) => boolean): AddressCandidate[] {
+    return this.options.controlState().members.map((member) => ({
+      member,
+      isServing: this.isServing(member),
+      isTakenOut: isTakenOut(member),
+      silentMs: this.silentMs(member),
+    }));
+  }
+
+  /** Whether a member serves callers, as far as is known. */
+  isServing(member: MemberId): boolean {
+    if (isSameMember(member, this.options.self)) return this.options.phase() === Phase.SERVING;
+    if (this.lease.isGone(member)) return false;
+    const known = this.peers.get(member.vmId);
+    return known?.status.incarnation === member.incarnation && known.status.phase === Phase.SERVING;
+  }
+
+  /** Tells all peers that this member has stopped, and ends the heartbeats. */
+  async stop(announceMs: number): Promise<void> {
+    if (announceMs > 0) await this.heartbeats.announce(announceMs);
+    await this.heartbeats.stop();
+  }
+
+  private ownStatus(): MemberStatus {
+    const { options } = this;
+    const state = options.controlState();
+    return create(MemberStatusSchema, {
+      vmId: options.self.vmId,
+      incarnation: options.self.incarnation,
+      failureDomainId: options.self.failureDomainId,
+      phase: options.phase(),
+      epoch: BigInt(this.lease.epoch),
+      settledEpoch: BigInt(this.lease.settledEpoch()),
+      configurationVersion: BigInt(state.configurationVersion),
+      drainRevision: BigInt(state.drainRevision),
+      logOffset: BigInt(state.nextOffset),
+      logAgeMs: Math.min(Math.trunc(options.logAgeMs()), 0xffffffff),
+      services: options.serviceLoads(),
+      observations: options.observations(),
+    });
+  }
+
+  private receive(status: MemberStatus, source: StatusSource): void {
+    const member = { vmId: status.vmId, incarnation: status.incarnation };
+    const report = toPeerReport(status);
+    this.policy.recordHeard(member);
+    this.peers.set(status.vmId, { status, heardAtMs: this.options.clock.monotonicMs() });
+    if (source.kind === 'response') {
+      this.lease.recordResponse(member, source.sentAtMs, report, source.isLeaseGranted);
+    } else this.lease.recordReport(member, report);
+    const sentAtMs = source.kind === 'response' ? source.sentAtMs : undefined;
+    this.options.onObservations(status.observations, sentAtMs);
+    this.options.onLoads(status.vmId, status.services);
+  }
+}
--- /dev/null
+++ b/packages/entryDaemon/src/orderService.ts
@@ -0,0 +1,126 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type { Clock, Endpoint, Incarnation, MemberId, VmId } from '@bronzelift/common';
+import { formatMember, isSameMember, sleep } from '@bronzelift/common';
+import { REFUSAL_CONFIRM_MS, SILENT_MS, isConnectionRefused } from '@bronzelift/membership';
+import { LogComponent } from '@bronzelift/observability';
+import type { DecisionLog, Invariants } from '@bronzelift/observability';
+import {
+  DEFAULT_LIMITS,
+  OrderCoordinator,
+  PeerTransport,
+  createForwardHandler,
+  createOrderRoutes,
+} from '@bronzelift/orders';
+import type { OrderRequestHandler, PeerKnowledge } from '@bronzelift/orders';
+
+import { writeAnswer } from './answers.js';
+import { CONFIRM_TIMEOUT_MS } from './constants.js';
+import type { MemberSession } from './memberSession.js';
+import { createOrderRunner } from './orderBridge.js';
+import type { RequestRunner } from './requestRunner.js';
+
+/** Parameters of the order service. */
+export interface OrderServiceOptions {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly runner: RequestRunner;
+  readonly invariants: Invariants;
+  readonly ownVmId: VmId;
+  readonly currentSession: () => MemberSession;
+  readonly issueTicket: (avoid?: MemberId) => string | undefined;
+  readonly findEndpoint: (vmId: VmId, incarnation: Incarnation) => Endpoint | undefined;
+  readonly nextRequestId: () => string;
+}
+
+/** At-most-once execution of orders, connected to membership, request path and peer port. */
+export class OrderService {
+  readonly coordinator: OrderCoordinator;
+
+  private readonly transport: PeerTransport;
+
+  private readonly handlers: readonly OrderRequestHandler[];
+
+  private inFlightCount = 0;
+
+  private constructor(private readonly options: OrderServiceOptions) {
+    const { clock, log, runner, invariants, ownVmId } = options;
+    this.transport = PeerTransport.create({
+      clock,
+      directory: { endpointOf: options.findEndpoint },
+      onMalformed: (path, member, detail) =>
+        log.warn(LogComponent.order, 'malformed answer of a peer', {
+          path,
+          peer: formatMember(member),
+          detail,
+        }),
+    });
+    this.coordinator = OrderCoordinator.create({
+      clock,
+      transport: this.transport,
+      knowledge: this.createKnowledge(),
+      runner: createOrderRunner(clock, runner, options.nextRequestId),
+      limits: DEFAULT_LIMITS,
+      onViolation: (name, detail) => invariants.report(name, detail),
+      sleep,
+    });
+    const routes = { coordinator: this.coordinator, ownVmId };
+    this.handlers = [createOrderRoutes(routes), createForwardHandler(routes)];
+  }
+
+  /** Creates the service. */
+  static create(options: OrderServiceOptions): OrderService {
+    return new OrderService(options);
+  }
+
+  /** Orders that peers forwarded and that have no answer yet. */
+  get inFlight(): number {
+    return this.inFlightCount;
+  }
+
+  /** Handles messages of peers about orders; any other path is refused. */
+  async handlePeerRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.inFlightCount += 1;
+    try {
+      for (const handler of this.handlers) if (await handler(message, response)) return;
+      // Callers' requests do not belong on this port.
+      response.setHeader('connection', 'close');
+      writeAnswer(response, { kind: 'not-run', code: 'unknown-path', retryAfterMs: 0 });
+    } finally {
+      this.inFlightCount -= 1;
+    }
+  }
+
+  /** Closes the connections to peers. */
+  close(): void {
+    this.transport.close();
+  }
+
+  private createKnowledge(): PeerKnowledge {
+    const { options } = this;
+    return {
+      own: () => options.currentSession().self,
+      isGone: (member) => options.currentSession().lease.isGone(member),
+      confirmGone: (member) => this.confirmGone(member),
+      isSilent: (member) => {
+        const session = options.currentSession();
+        return !isSameMember(member, session.self) && session.silentMs(member) > SILENT_MS / 2;
+      },
+      holdsLease: () => options.currentSession().lease.isLeaseHeld(),
+      issueTicket: options.issueTicket,
+    };
+  }
+
+  /** A refused connection proves that no process listens there; silence proves nothing. */
+  private async confirmGone(member: MemberId): Promise<boolean> {
+    const session = this.options.currentSession();
+    if (session.lease.isGone(member)) return true;
+    const endpoint = this.options.findEndpoint(member.vmId, member.incarnation);
+    if (!endpoint) return false;
+    if (!(await isConnectionRefused(endpoint, CONFIRM_TIMEOUT_MS))) return false;
+    await sleep(REFUSAL_CONFIRM_MS);
+    if (!(await isConnectionRefused(endpoint, CONFIRM_TIMEOUT_MS))) return false;
+    session.noteGone(member, 'refused');
+    return true;
+  }
+}
--- a/packages/entryDaemon/src/peerForwarder.ts
+++ b/packages/entryDaemon/src/peerForwarder.ts
@@ -97,7 +97,7 @@
   }
 
   /** Forwards a request once; never rejects. An unsent request is answered not run. */
-  forward(target: ForwardTarget, work: WorkRequest): Promise<ForwardOutcome> {
+  forward(target: ForwardTarget, work: WorkRequest, mayWait: boolean): Promise<ForwardOutcome> {
     return new Promise((resolve) => {
       let connected = false;
       const limitMs = Math.max(1, work.deadlineAtMs - this.clock.monotonicMs()) + ANSWER_TRAVEL_MS;
@@ -107,7 +107,7 @@
         port: target.endpoint.port,
         method: work.method,
         path: `${FORWARD_PREFIX}run/${work.service}${work.path}`,
-        headers: this.headersFor(target, work),
+        headers: this.headersFor(target, work, mayWait),
       });
       const timer = setTimeout(() => request.destroy(new Error('no answer in time')), limitMs);
       const abort = (): void => {
@@ -150,12 +150,17 @@
     });
   }
 
-  private headersFor(target: ForwardTarget, work: WorkRequest): Record<string, string | string[]> {
+  private headersFor(
+    target: ForwardTarget,
+    work: WorkRequest,
+    mayWait: boolean,
+  ): Record<string, string | string[]> {
     return {
       ...copyHeaders(work.headers),
       'content-length': String(work.body.length),
       [PeerHeader.forwardedBy]: formatMember(this.own()),
       [PeerHeader.targetIncarnation]: target.incarnation,
+      [PeerHeader.mayWait]: mayWait ? '1' : '0',
       [PeerHeader.deadlineAtMs]: String(Math.trunc(work.deadlineAtWallMs)),
     };
   }
--- /dev/null
+++ b/packages/entryDaemon/src/requestRunner.ts
@@ -0,0 +1,348 @@
+import type { BackendAttempt, BackendRequest } from '@bronzelift/backend-client';
+import type { Clock, FailureDomainId, Incarnation, RandomSource, VmId } from '@bronzelift/common';
+import { assertNever } from '@bronzelift/common';
+import { LogComponent } from '@bronzelift/observability';
+import type { DecisionLog, Metrics } from '@bronzelift/observability';
+import { decideRetry } from '@bronzelift/routing';
+
+import { spreadRetryAfterMs } from './callerRequest.js';
+import { MAX_ATTEMPTS, MAX_FORWARDS, SLOT_WAIT_MS } from './constants.js';
+import type { ForwardTarget, PeerForwarder } from './peerForwarder.js';
+import type { SendGate } from './sendGate.js';
+import type { ChosenSlot, ServiceRuntime } from './serviceRuntime.js';
+import type { OrderSendGuard, WorkRequest, WorkResult } from './types.js';
+
+/** A member that requests can be forwarded to. */
+export interface ReachablePeer extends ForwardTarget {
+  readonly vmId: VmId;
+  readonly incarnation: Incarnation;
+  readonly failureDomainId: FailureDomainId;
+}
+
+/** Parameters of the request path. */
+export interface RequestRunnerOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: DecisionLog;
+  readonly metrics: Metrics;
+  readonly gate: SendGate;
+  readonly forwarder: PeerForwarder;
+  readonly findService: (name: string) => ServiceRuntime | undefined;
+  readonly findPeer: (vmId: VmId) => ReachablePeer | undefined;
+}
+
+const NEVER_SENT: OrderSendGuard = { beforeSend: () => true, provenNotRun: () => {} };
+
+const toResult = (attempt: BackendAttempt): WorkResult => {
+  switch (attempt.kind) {
+    case 'answered': {
+      const { status, headers, body } = attempt.response;
+      return { kind: 'answered', status, headers, body };
+    }
+    case 'too-large':
+      return { kind: 'unknown', code: 'answer-too-large' };
+    case 'failed-after-send':
+      return { kind: 'unknown', code: attempt.reason === 'timeout' ? 'timeout' : 'backend-failed' };
+    case 'refused':
+    case 'not-sent':
+      return { kind: 'not-run', code: 'overloaded', retryAfterMs: 0 };
+    default:
+      return assertNever(attempt);
+  }
+};
+
+/** Runs requests: on own slots, at a peer, or after a wait in the queue. */
+export class RequestRunner {
+  private constructor(private readonly options: RequestRunnerOptions) {}
+
+  /** Creates the request path. */
+  static create(options: RequestRunnerOptions): RequestRunner {
+    return new RequestRunner(options);
+  }
+
+  /** Runs one request; never rejects. The guard of an order is asked before each send. */
+  async run(work: WorkRequest, guard: OrderSendGuard = NEVER_SENT): Promise<WorkResult> {
+    const service = this.options.findService(work.service);
+    if (!service) return this.refuse('unknown-service');
+    service.retries.addRequest();
+    service.hedges.addRequest();
+    const closedReason = this.options.gate.closedReason();
+    const hasOwnSlot = !closedReason && service.freeSlots(work.isOrder) > 0;
+    if (!hasOwnSlot && work.mayForward) {
+      const forwarded = await this.forward(work, service, guard);
+      if (forwarded) return forwarded;
+    }
+    if (closedReason) {
+      this.options.log.warn(LogComponent.admit, 'refused: sending is closed', {
+        request: work.requestId,
+        reason: closedReason,
+      });
+      return this.refuse('not-ready');
+    }
+    if (!service.hasAvailableInstance) return this.refuse('no-capacity');
+    return this.admit(work, service, guard);
+  }
+
+  private refuse(code: string): WorkResult {
+    return { kind: 'not-run', code, retryAfterMs: spreadRetryAfterMs(this.options.random) };
+  }
+
+  private async admit(
+    work: WorkRequest,
+    service: ServiceRuntime,
+    guard: OrderSendGuard,
+  ): Promise<WorkResult> {
+    const admission = await service.queue.admit(
+      {
+        isOrder: work.isOrder,
+        deadlineAtMs: work.deadlineAtMs,
+        signal: work.signal,
+        isImmediate: !work.mayForward && !work.mayWait,
+      },
+      () => this.attemptUntilDone(work, service, guard),
+    );
+    switch (admission.kind) {
+      case 'completed':
+        return admission.value;
+      case 'failed':
+        return { kind: 'unknown', code: 'backend-failed' };
+      case 'not-run': {
+        const code = admission.code === 'deadline-exceeded' ? 'deadline-passed' : admission.code;
+        this.options.log.info(LogComponent.admit, 'refused', {
+          request: work.requestId,
+          service: work.service,
+          code,
+          retryAfterMs: Math.round(admission.retryAfterMs),
+        });
+        return { kind: 'not-run', code, retryAfterMs: admission.retryAfterMs };
+      }
+      default:
+        return assertNever(admission);
+    }
+  }
+
+  /** Tries instances until the request has an answer, within deadline and retry budget. */
+  private async attemptUntilDone(
+    work: WorkRequest,
+    service: ServiceRuntime,
+    guard: OrderSendGuard,
+  ): Promise<WorkResult> {
+    const tried = new Set<string>();
+    let mayHaveRun = false;
+    for (let attempts = 1; ; attempts++) {
+      const chosen = await this.takeSlot(work, service, tried);
+      if (!chosen)
+        return mayHaveRun ? { kind: 'unknown', code: 'timeout' } : this.refuse('overloaded');
+      tried.add(chosen.use.runtime.id);
+      const attempt = work.isOrder
+        ? await this.attempt(work, service, chosen, guard, work.signal)
+        : await this.attemptWithHedge(work, service, chosen, tried);
+      if (attempt === 'closed') {
+        return mayHaveRun ? { kind: 'unknown', code: 'timeout' } : this.refuse('not-ready');
+      }
+      mayHaveRun ||= attempt.kind === 'failed-after-send' || attempt.kind === 'too-large';
+      const decision = decideRetry(attempt, {
+        isOrder: work.isOrder,
+        mayHaveRun,
+        remainingMs: work.deadlineAtMs - this.options.clock.monotonicMs(),
+        expectedLatencyMs: chosen.expectedLatencyMs,
+        hasAlternative: attempts < MAX_ATTEMPTS,
+        isCallerPresent: !work.signal.aborted,
+        takeRetryToken: () => service.retries.take(),
+      });
+      switch (decision.kind) {
+        case 'pass-answer':
+          return toResult(attempt);
+        case 'retry':
+          this.options.metrics
+            .counter('bronzelift_retries_total', { service: work.service })
+            .increment();
+          continue;
+        case 'answer-unknown':
+          return toResult(attempt).kind === 'unknown'
+            ? toResult(attempt)
+            : { kind: 'unknown', code: 'backend-failed' };
+        case 'answer-not-run':
+          return this.refuse('overloaded');
+        default:
+          return assertNever(decision);
+      }
+    }
+  }
+
+  private async takeSlot(
+    work: WorkRequest,
+    service: ServiceRuntime,
+    tried: ReadonlySet<string>,
+  ): Promise<ChosenSlot | undefined> {
+    for (;;) {
+      const chosen =
+        service.choose(work.isOrder, tried) ??
+        (tried.size > 0 ? service.choose(work.isOrder, new Set()) : undefined);
+      if (chosen) return chosen;
+      const remainingMs = work.deadlineAtMs - this.options.clock.monotonicMs();
+      if (remainingMs <= 0 || work.signal.aborted) return undefined;
+      await service.waitForSlot(Math.min(remainingMs, SLOT_WAIT_MS));
+    }
+  }
+
+  /** One attempt on a reserved slot; `closed` when nothing may be sent any more. */
+  private async attempt(
+    work: WorkRequest,
+    service: ServiceRuntime,
+    chosen: ChosenSlot,
+    guard: OrderSendGuard,
+    signal: AbortSignal,
+  ): Promise<BackendAttempt | 'closed'> {
+    let ended: BackendAttempt | undefined;
+    try {
+      const refusal = await chosen.use.runtime.connect(chosen.use, signal);
+      if (refusal) {
+        ended = { kind: 'not-sent', reason: 'connect-failed', detail: refusal, durationMs: 0 };
+        return ended;
+      }
+      // From here to the write there is no wait, so that the checks still hold at the write.
+      const fenceMs = this.options.gate.remainingMs();
+      if (fenceMs <= 0) return 'closed';
+      if (!chosen.use.runtime.maySend(chosen.use)) {
+        ended = {
+          kind: 'not-sent',
+          reason: 'connection-closed',
+          detail: 'slot lost',
+          durationMs: 0,
+        };
+        return ended;
+      }
+      if (!guard.beforeSend()) return 'closed';
+      this.logRoute(work, chosen);
+      ended = await chosen.use.runtime.send(
+        chosen.use,
+        this.toBackendRequest(work, fenceMs),
+        signal,
+      );
+      if (ended.kind === 'not-sent' || ended.kind === 'refused') guard.provenNotRun();
+      return ended;
+    } finally {
+      service.finish(chosen, ended);
+    }
+  }
+
+  /** An attempt at a lookup, with a second one elsewhere when it takes unusually long. */
+  private async attemptWithHedge(
+    work: WorkRequest,
+    service: ServiceRuntime,
+    chosen: ChosenSlot,
+    tried: Set<string>,
+  ): Promise<BackendAttempt | 'closed'> {
+    const firstAbort = new AbortController();
+    const signal = AbortSignal.any([work.signal, firstAbort.signal]);
+    const first = this.attempt(work, service, chosen, NEVER_SENT, signal);
+    const delayMs = service.hedges.delayMs();
+    if (delayMs === undefined) return first;
+    const isDone = await this.settlesWithin(first, delayMs);
+    if (isDone) return first;
+    const second =
+      service.freeSlots() > 0 && service.hedges.take() ? service.choose(false, tried) : undefined;
+    if (!second) return first;
+    tried.add(second.use.runtime.id);
+    this.options.metrics.counter('bronzelift_hedges_total', { service: work.service }).increment();
+    const secondAbort = new AbortController();
+    const hedgeSignal = AbortSignal.any([work.signal, secondAbort.signal]);
+    const hedge = this.attempt(work, service, second, NEVER_SENT, hedgeSignal);
+    return this.firstAnswer(first, firstAbort, hedge, secondAbort);
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- kept beside its only use
+  private async settlesWithin(attempt: Promise<unknown>, delayMs: number): Promise<boolean> {
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise<false>((resolve) => {
+      timer = setTimeout(() => resolve(false), delayMs);
+    });
+    const isDone = await Promise.race([attempt.then(() => true), late]);
+    clearTimeout(timer);
+    return isDone;
+  }
+
+  /** The first attempt that was answered; the other is cancelled. */
+  // eslint-disable-next-line class-methods-use-this -- kept beside its only use
+  private async firstAnswer(
+    first: Promise<BackendAttempt | 'closed'>,
+    firstAbort: AbortController,
+    hedge: Promise<BackendAttempt | 'closed'>,
+    hedgeAbort: AbortController,
+  ): Promise<BackendAttempt | 'closed'> {
+    const isAnswer = (attempt: BackendAttempt | 'closed'): boolean =>
+      attempt !== 'closed' && attempt.kind === 'answered';
+    const earlier = await Promise.race([
+      first.then((attempt) => ({ attempt, other: hedge, otherAbort: hedgeAbort })),
+      hedge.then((attempt) => ({ attempt, other: first, otherAbort: firstAbort })),
+    ]);
+    if (!isAnswer(earlier.attempt)) return earlier.other;
+    earlier.otherAbort.abort();
+    return earlier.attempt;
+  }
+
+  /** Forwards a request to peers with free slots; undefined when none took it. */
+  private async forward(
+    work: WorkRequest,
+    service: ServiceRuntime,
+    guard: OrderSendGuard,
+  ): Promise<WorkResult | undefined> {
+    const excluded = new Set<VmId>();
+    const hasNoSlots = service.queue.stats().usableSlots === 0;
+    for (let tries = 0; tries < MAX_FORWARDS; tries++) {
+      const selection = service.peers.select(excluded);
+      if (!selection) return undefined;
+      if (selection.reason === 'unknown-load' && !hasNoSlots) return undefined;
+      excluded.add(selection.vmId);
+      const peer = this.options.findPeer(selection.vmId);
+      if (!peer) continue;
+      if (!guard.beforeSend()) return this.refuse('not-ready');
+      this.options.log.info(LogComponent.forward, 'forwarded to peer', {
+        request: work.requestId,
+        service: work.service,
+        peer: peer.vmId,
+        reason: selection.reason,
+      });
+      service.peers.addForwarded(peer.vmId);
+      const { result, freeSlots } = await this.options.forwarder.forward(peer, work, hasNoSlots);
+      if (freeSlots !== undefined) service.peers.report(peer.vmId, freeSlots);
+      if (result.kind === 'not-run') {
+        guard.provenNotRun();
+        if (hasNoSlots && tries === MAX_FORWARDS - 1) return result;
+        continue;
+      }
+      if (result.kind === 'unknown' && !work.isOrder && service.retries.take()) continue;
+      return result;
+    }
+    return undefined;
+  }
+
+  private logRoute(work: WorkRequest, chosen: ChosenSlot): void {
+    this.options.log.info(LogComponent.route, 'sent to instance', {
+      request: work.requestId,
+      service: work.service,
+      instance: chosen.use.runtime.id,
+      slot: chosen.use.slot,
+      reason: chosen.reason,
+      expectedMs: Math.round(chosen.expectedLatencyMs),
+    });
+  }
+
+  private toBackendRequest(work: WorkRequest, fenceMs: number): BackendRequest {
+    const { clock } = this.options;
+    const remainingMs = Math.max(1, work.deadlineAtMs - clock.monotonicMs());
+    const timeoutMs = Math.min(remainingMs, fenceMs);
+    return {
+      method: work.method,
+      path: work.path,
+      headers: work.headers,
+      body: work.body,
+      requestId: work.requestId,
+      deadlineAtWallMs: Math.floor(clock.wallMs() + timeoutMs),
+      timeoutMs: remainingMs,
+      idempotencyKey: work.idempotencyKey,
+      callDepth: work.callDepth + 1,
+    };
+  }
+}
--- a/packages/entryDaemon/src/types.ts
+++ b/packages/entryDaemon/src/types.ts
@@ -20,6 +20,8 @@
   readonly signal: AbortSignal;
   /** False for a request that another entry VM has forwarded. */
   readonly mayForward: boolean;
+  /** Whether a forwarded request may wait here, because its sender holds no slot. */
+  readonly mayWait: boolean;
 }
 
 /** Checks that an order may still be sent, and learns when a send is proven not to have run. */
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,8 +1,10 @@
 export * from './addressBook.js';
 export * from './constants.js';
 export * from './evictionPolicy.js';
+export * from './heartbeatService.js';
 export * from './memberLease.js';
 export * from './types.js';
 export * from './utils.js';
 export * from './vmListReader.js';
 export * from './vmListTracker.js';
+export { isConnectionRefused } from './peerClient.js';
--- a/packages/slots/src/instanceAllowance.ts
+++ b/packages/slots/src/instanceAllowance.ts
@@ -130,6 +130,11 @@
     this.resetAtMs = this.clock.monotonicMs();
   }
 
+  /** Forgets a connection that this entry VM closed by its own choice; that proves nothing. */
+  forgetConnection(connection: ConnectionId): void {
+    this.connections.delete(connection);
+  }
+
   /** Takes a response on a connection. */
   recordResponse(connection: ConnectionId, response: InstanceResponse): AllowanceChange {
     const tracked = this.connections.get(connection);
