Add bronzeliftctl

Commands check, apply, show, status, take-out, bring-back and wait-for, with exit codes 0 accepted, 1 rejected or lost, 2 usage or bad input, 3 unknown. An append without a response is settled by reading the log for the applyId. Checked: treating an unknown append as refused fails the settle and the unknown test.

--- /dev/null
+++ b/apps/ctl/src/applyConfiguration.ts
@@ -0,0 +1,102 @@
+import { randomUUID } from 'node:crypto';
+
+import { assertNever } from '@bronzelift/common';
+import { decodeRecord, encodeRecord } from '@bronzelift/control-log';
+import type { FoldResult } from '@bronzelift/control-log';
+
+import { ExitCode } from './constants.js';
+import type { FoldedRecord, LogContext } from './logSession.js';
+import type { Output } from './output.js';
+
+/** What a command that changes something works with. */
+export interface ChangeContext extends LogContext {
+  /** Time to look for the change on the log. */
+  readonly settleTimeoutMs: number;
+}
+
+const describeResult = (result: FoldResult, output: Output): ExitCode => {
+  switch (result.kind) {
+    case 'accepted':
+      output.print(`accepted: version ${result.version} is in force on the log`);
+      return ExitCode.accepted;
+    case 'lost-race':
+      output.fail(
+        `lost the race: version ${result.version} is in force and was applied by someone else; ` +
+          'nothing was changed',
+      );
+      return ExitCode.rejected;
+    case 'rejected':
+    case 'malformed':
+    case 'ignored':
+      output.fail(`rejected: ${result.reason}; nothing was changed`);
+      return ExitCode.rejected;
+    case 'applied':
+      output.fail('the record was taken for another kind');
+      return ExitCode.unknown;
+    default:
+      return assertNever(result);
+  }
+};
+
+const hasApplyId =
+  (applyId: string) =>
+  ({ payload }: FoldedRecord): boolean => {
+    const decoded = decodeRecord(payload);
+    if (decoded.err || decoded.val.kind !== 'configuration-applied') return false;
+    return decoded.val.applyId === applyId;
+  };
+
+/** Exit code when the base is not the version in force, with the reason printed. */
+const refuseBase = (
+  inForce: number,
+  basedOnVersion: number | undefined,
+  output: Output,
+): ExitCode | undefined => {
+  if (basedOnVersion === undefined && inForce === 0) {
+    output.fail(
+      'no configuration is in force on this log; for a first deployment add --based-on 0, ' +
+        'otherwise check the address of the log and that entry daemons are running',
+    );
+    return ExitCode.usage;
+  }
+  if (basedOnVersion !== undefined && basedOnVersion !== inForce) {
+    output.fail(`lost the race: version ${inForce} is in force; nothing was sent`);
+    return ExitCode.rejected;
+  }
+  return undefined;
+};
+
+/**
+ * Appends a configuration and finds out what became of it. A lost response is settled by
+ * reading the log for the id of the apply.
+ */
+export const applyConfiguration = async (
+  { client, session, output, settleTimeoutMs }: ChangeContext,
+  text: string,
+  basedOnVersion: number | undefined,
+): Promise<ExitCode> => {
+  const state = await session.readState();
+  if (state.err) {
+    output.fail(`nothing was sent: ${state.val}`);
+    return ExitCode.rejected;
+  }
+  const base = state.val.configurationVersion;
+  const refusal = refuseBase(base, basedOnVersion, output);
+  if (refusal !== undefined) return refusal;
+  const applyId = randomUUID();
+  const appended = await client.append(
+    encodeRecord({ kind: 'configuration-applied', applyId, basedOnVersion: base, text }),
+  );
+  if (appended.err && appended.val.kind === 'refused') {
+    output.fail(`nothing was sent: ${appended.val.error.message}`);
+    return ExitCode.rejected;
+  }
+  if (appended.err) output.warn(`${appended.val.error.message}; reading the log for the apply`);
+  const record = await session.findRecord(hasApplyId(applyId), settleTimeoutMs);
+  if (record !== undefined) return describeResult(record.result, output);
+  output.fail(
+    `unknown: the apply ${applyId} did not show up on the log within ${settleTimeoutMs} ms ` +
+      `and may still; run the same command with --based-on ${base}, which can't apply it twice`,
+  );
+  return ExitCode.unknown;
+};
--- /dev/null
+++ b/apps/ctl/src/cli.ts
@@ -0,0 +1,45 @@
+import { Builtins, Cli } from 'clipanion';
+import type { BaseContext, Command } from 'clipanion';
+
+import { describeError } from '@bronzelift/common';
+
+import { ApplyCommand } from './commands/apply.js';
+import { BringBackCommand } from './commands/bringBack.js';
+import { CheckCommand } from './commands/check.js';
+import { ShowCommand } from './commands/show.js';
+import { StatusCommand } from './commands/status.js';
+import { TakeOutCommand } from './commands/takeOut.js';
+import { WaitForCommand } from './commands/waitFor.js';
+import { ExitCode } from './constants.js';
+
+const createCli = (): Cli => {
+  const cli = new Cli({ binaryName: 'bronzeliftctl', binaryLabel: 'bronzelift operators' });
+  [
+    Builtins.HelpCommand,
+    CheckCommand,
+    ApplyCommand,
+    ShowCommand,
+    StatusCommand,
+    TakeOutCommand,
+    BringBackCommand,
+    WaitForCommand,
+  ].forEach((command) => cli.register(command));
+  return cli;
+};
+
+/** Runs one command line and returns the exit code; a wrong command line is code 2. */
+export const runCli = async (
+  args: readonly string[],
+  context: Partial<BaseContext> = {},
+): Promise<number> => {
+  const cli = createCli();
+  const whole = { ...Cli.defaultContext, ...context };
+  let command: Command;
+  try {
+    command = cli.process([...args], whole);
+  } catch (error) {
+    whole.stderr.write(`${describeError(error)}\n`);
+    return ExitCode.usage;
+  }
+  return cli.run(command, whole);
+};
--- /dev/null
+++ b/apps/ctl/src/commands/status.ts
@@ -0,0 +1,26 @@
+import { Command, Option } from 'clipanion';
+
+import { ExitCode } from '../constants.js';
+import { formatTable } from '../output.js';
+import { createStatusTable, fetchStatuses } from '../statusReport.js';
+import { AdminCommand } from './adminCommand.js';
+
+/** `status <address…>`. */
+export class StatusCommand extends AdminCommand {
+  static override paths = [['status']];
+
+  static override usage = Command.Usage({
+    description: 'Show where which version is in force',
+  });
+
+  addresses = Option.Rest({ required: 1 });
+
+  async execute(): Promise<ExitCode> {
+    const output = this.createOutput();
+    const endpoints = AdminCommand.parseAddresses(this.addresses, output);
+    if (endpoints === undefined) return ExitCode.usage;
+    const rows = await fetchStatuses(endpoints);
+    formatTable(createStatusTable(rows)).forEach((line) => output.print(line));
+    return rows.every((row) => row.report.ok) ? ExitCode.accepted : ExitCode.rejected;
+  }
+}
--- /dev/null
+++ b/apps/ctl/src/drainTarget.ts
@@ -0,0 +1,64 @@
+import { encodeRecord, isTakenOut } from '@bronzelift/control-log';
+import type { ControlState, Target } from '@bronzelift/control-log';
+
+import type { ChangeContext } from './applyConfiguration.js';
+import { ExitCode } from './constants.js';
+
+const TARGET = /^(?:domain|vm):[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+
+/** Whether a text names a target, `domain:<id>` or `vm:<id>`. */
+export const isTarget = (text: string): text is Target => TARGET.test(text);
+
+/** Targets that the configuration and the roster know. */
+export const listTargets = (state: ControlState): Set<Target> => {
+  const { configuration, members } = state;
+  return new Set<Target>([
+    ...configuration.domains.map(({ id }): Target => `domain:${id}`),
+    ...configuration.instances.map(({ vmId }): Target => `vm:${vmId}`),
+    ...members.map(({ failureDomainId }): Target => `domain:${failureDomainId}`),
+    ...members.map(({ vmId }): Target => `vm:${vmId}`),
+  ]);
+};
+
+/** Takes a target out of service or brings it back, and finds out whether that took effect. */
+export const drainTarget = async (
+  { client, session, output, settleTimeoutMs }: ChangeContext,
+  target: Target,
+  takeOut: boolean,
+  force: boolean,
+): Promise<ExitCode> => {
+  const state = await session.readState();
+  if (state.err) {
+    output.fail(`nothing was sent: ${state.val}`);
+    return ExitCode.rejected;
+  }
+  const place = takeOut ? 'out of service' : 'in service';
+  if (isTakenOut(state.val, target) === takeOut) {
+    output.print(`${target} is already ${place} (drain revision ${state.val.drainRevision})`);
+    return ExitCode.accepted;
+  }
+  if (takeOut && !force && !listTargets(state.val).has(target)) {
+    output.fail(
+      `${target} is neither in the configuration nor in the roster; use --force if meant`,
+    );
+    return ExitCode.usage;
+  }
+  const kind = takeOut ? 'target-taken-out' : 'target-brought-back';
+  const appended = await client.append(encodeRecord({ kind, target }));
+  if (appended.err && appended.val.kind === 'refused') {
+    output.fail(`nothing was sent: ${appended.val.error.message}`);
+    return ExitCode.rejected;
+  }
+  if (appended.err) output.warn(`${appended.val.error.message}; reading the log for the change`);
+  const settled = await session.findRecord(
+    ({ offset, result }) =>
+      appended.ok ? offset === appended.val : isTakenOut(result.state, target) === takeOut,
+    settleTimeoutMs,
+  );
+  if (settled !== undefined && isTakenOut(settled.result.state, target) === takeOut) {
+    output.print(`${target} is ${place} (drain revision ${settled.result.state.drainRevision})`);
+    return ExitCode.accepted;
+  }
+  output.fail(`unknown: the change of ${target} did not show up on the log; repeat the command`);
+  return ExitCode.unknown;
+};
--- /dev/null
+++ b/apps/ctl/src/main.ts
@@ -0,0 +1,3 @@
+import { runCli } from './cli.js';
+
+process.exitCode = await runCli(process.argv.slice(2));
--- /dev/null
+++ b/apps/ctl/src/output.ts
@@ -0,0 +1,49 @@
+import type { Writable } from 'node:stream';
+
+import { createConsola } from 'consola';
+
+/** Lines for the operator: results on standard output, errors and warnings on standard error. */
+export interface Output {
+  print(line: string): void;
+  warn(line: string): void;
+  fail(line: string): void;
+}
+
+const INFO_LEVEL = 3;
+
+/** Creates the output on two streams. */
+export const createOutput = (stdout: Writable, stderr: Writable): Output => {
+  const console = createConsola({
+    level: INFO_LEVEL,
+    fancy: false,
+    stdout: stdout as NodeJS.WriteStream,
+    // Warnings would go to standard output otherwise, between the results.
+    stderr: stderr as NodeJS.WriteStream,
+    formatOptions: { date: false, colors: false },
+  });
+  const errors = createConsola({
+    level: INFO_LEVEL,
+    fancy: false,
+    stdout: stderr as NodeJS.WriteStream,
+    stderr: stderr as NodeJS.WriteStream,
+    formatOptions: { date: false, colors: false },
+  });
+  return {
+    print: (line) => console.log(line),
+    warn: (line) => errors.warn(line),
+    fail: (line) => errors.error(line),
+  };
+};
+
+/** Lines of a table with aligned columns; the first row is the heading. */
+export const formatTable = (rows: readonly (readonly string[])[]): string[] => {
+  const widths = (rows[0] ?? []).map((_, column) =>
+    Math.max(...rows.map((row) => row[column]?.length ?? 0)),
+  );
+  return rows.map((row) =>
+    row
+      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+      .join('  ')
+      .trimEnd(),
+  );
+};
--- a/packages/controlLog/tests/logServer.ts
+++ b/packages/controlLog/tests/logServer.ts
@@ -20,6 +20,12 @@
 export class LogServer {
   mode: ServerMode = 'normal';
 
+  /** Appends take effect and their responses are lost; reads work. */
+  loseAppendResponses = false;
+
+  /** Appends are lost on the way, like their responses; reads work. */
+  dropAppends = false;
+
   requests = 0;
 
   log = new ModelLog('server');
@@ -55,13 +61,18 @@
       response.writeHead(503).end();
       return;
     }
-    const answer = message.method === 'POST' ? this.append(body) : await this.read(message.url!);
-    if (this.mode === 'lose-response') {
+    const isAppend = message.method === 'POST';
+    if (isAppend && this.dropAppends) {
+      response.destroy();
+      return;
+    }
+    const answer = isAppend ? this.append(body) : await this.read(message.url!);
+    if (this.mode === 'lose-response' || (isAppend && this.loseAppendResponses)) {
       response.destroy();
       return;
     }
     const text = JSON.stringify(answer);
-    response.writeHead(message.method === 'POST' ? 201 : 200, { 'content-length': text.length });
+    response.writeHead(isAppend ? 201 : 200, { 'content-length': text.length });
     if (this.mode === 'truncate') response.write(text.slice(0, 5), () => response.destroy());
     else response.end(text);
   }
