--- a/packages/controlLog/tests/logServer.ts
+++ b/packages/controlLog/tests/logServer.ts
@@ -72,7 +72,7 @@
       return;
     }
     const text = JSON.stringify(answer);
-    response.writeHead(isAppend ? 201 : 200, { 'content-length': text.length });
+    response.writeHead(isAppend ? 201 : 200, { 'content-length': Buffer.byteLength(text) });
     if (this.mode === 'truncate') response.write(text.slice(0, 5), () => response.destroy());
     else response.end(text);
   }
