loadTool: open-loop load with order audit, comparison, plot and program

Cause: the demo launcher and the measurements need one load tool. Ruled out: sending only after the previous response, which hides waiting time. A fault was applied 0.45 ms early in one test run, because timers may fire early; waits now repeat until the time has come. Conclusion: ready to be used against the entry daemon, which was not available here.

--- /dev/null
+++ b/packages/loadTool/src/arrivals.ts
@@ -0,0 +1,59 @@
+import type { RandomSource } from '@bronzelift/common';
+
+import { factorAt, maxFactor } from './rateProfile.js';
+import type { RateStep, RequestKind, ServiceLoad } from './types.js';
+
+/** One request to be sent at a time after the start, whatever became of earlier ones. */
+export interface Arrival {
+  readonly atMs: number;
+  readonly index: number;
+  readonly service: ServiceLoad;
+  readonly kind: RequestKind;
+}
+
+interface Stream {
+  readonly service: ServiceLoad;
+  readonly kind: RequestKind;
+  readonly perSecond: number;
+}
+
+const listStreams = (services: readonly ServiceLoad[]): Stream[] =>
+  services
+    .flatMap((service): Stream[] => [
+      { service, kind: 'lookup', perSecond: service.lookupsPerSecond },
+      { service, kind: 'order', perSecond: service.ordersPerSecond },
+    ])
+    .filter(({ perSecond }) => perSecond > 0);
+
+const pickStream = (streams: readonly Stream[], total: number, draw: number): Stream => {
+  let remaining = draw * total;
+  const picked = streams.find(({ perSecond }) => {
+    remaining -= perSecond;
+    return remaining < 0;
+  });
+  return picked ?? streams[streams.length - 1]!;
+};
+
+/** Poisson arrivals over a duration; the rate follows the profile (thinning). */
+export const generateArrivals = function* generateArrivals(
+  services: readonly ServiceLoad[],
+  profile: readonly RateStep[],
+  durationMs: number,
+  random: RandomSource,
+): Generator<Arrival> {
+  const streams = listStreams(services);
+  const total = streams.reduce((sum, { perSecond }) => sum + perSecond, 0);
+  if (total === 0) return;
+  const highest = maxFactor(profile);
+  const meanGapMs = 1000 / (total * highest);
+  let index = 0;
+  let atMs = 0;
+  for (;;) {
+    atMs -= Math.log(1 - random.next()) * meanGapMs;
+    if (atMs >= durationMs) return;
+    if (random.next() * highest >= factorAt(profile, atMs)) continue;
+    const { service, kind } = pickStream(streams, total, random.next());
+    yield { atMs, index, service, kind };
+    index += 1;
+  }
+};
--- /dev/null
+++ b/packages/loadTool/src/orderAudit.ts
@@ -0,0 +1,85 @@
+import type { BackendReport, RunRecord } from '@bronzelift/standins';
+
+import { MAX_FINDINGS, TICKET_SEPARATOR } from './constants.js';
+import type { KeyOutcome, Verdict } from './requestTrace.js';
+import type { BackendReports, MeasuringCost, OrderAudit, OrderFinding } from './types.js';
+
+/** What the caller knows of one order. */
+export interface OrderRecord {
+  readonly callerPart: string;
+  readonly keys: ReadonlyMap<string, KeyOutcome>;
+  readonly verdict: Verdict;
+}
+
+const describeRuns = (runs: readonly RunRecord[]): string =>
+  runs.map(({ instanceId, startedAtMs }) => `${instanceId} at ${startedAtMs}`).join(', ');
+
+const callerPartOf = (key: string): string => key.slice(key.lastIndexOf(TICKET_SEPARATOR) + 1);
+
+const collectRuns = (reports: BackendReports): Map<string, RunRecord[]> => {
+  const runs = new Map<string, RunRecord[]>();
+  reports.forEach((report) =>
+    Object.entries(report.runs).forEach(([key, started]) => {
+      runs.set(key, [...(runs.get(key) ?? []), ...started]);
+    }),
+  );
+  return runs;
+};
+
+const groupByOrder = (runs: ReadonlyMap<string, RunRecord[]>): Map<string, RunRecord[]> => {
+  const groups = new Map<string, RunRecord[]>();
+  runs.forEach((started, key) => {
+    const callerPart = callerPartOf(key);
+    groups.set(callerPart, [...(groups.get(callerPart) ?? []), ...started]);
+  });
+  return groups;
+};
+
+/** Compares the orders with the runs counted by the backend stand-ins. */
+export const auditOrders = (
+  orders: readonly OrderRecord[],
+  reports: BackendReports,
+): OrderAudit => {
+  const runsByKey = collectRuns(reports);
+  const runsByOrder = groupByOrder(runsByKey);
+  const findings = orders.flatMap(({ callerPart, keys, verdict }): OrderFinding[] => {
+    const runs = runsByOrder.get(callerPart) ?? [];
+    const all = [...keys.keys()];
+    const found: OrderFinding[] = [];
+    if (runs.length > 1) {
+      found.push({ finding: 'doubled', keys: all, detail: describeRuns(runs) });
+    }
+    if (verdict === 'served' && runs.length === 0) {
+      found.push({ finding: 'lost', keys: all, detail: 'answered 2xx without a run' });
+    }
+    keys.forEach((outcome, key) => {
+      const keyRuns = runsByKey.get(key) ?? [];
+      if (outcome !== 'not-run' || keyRuns.length === 0) return;
+      found.push({ finding: 'run-after-not-run', keys: [key], detail: describeRuns(keyRuns) });
+    });
+    return found;
+  });
+  const count = (name: OrderFinding['finding']): number =>
+    findings.filter(({ finding }) => finding === name).length;
+  return {
+    audited: reports.length > 0,
+    doubled: reports.length > 0 ? count('doubled') : 0,
+    lost: reports.length > 0 ? count('lost') : 0,
+    runAfterNotRun: reports.length > 0 ? count('run-after-not-run') : 0,
+    findings: reports.length > 0 ? findings.slice(0, MAX_FINDINGS) : [],
+  };
+};
+
+/** Backend time spent on measuring, and cold overloads, over all reports. */
+export const sumMeasuringCost = (reports: BackendReports): MeasuringCost | undefined => {
+  if (reports.length === 0) return undefined;
+  const instances = reports.flatMap((report: BackendReport) => report.instances);
+  const sum = (value: (instance: (typeof instances)[number]) => number): number =>
+    instances.reduce((total, instance) => total + value(instance), 0);
+  return {
+    probeMs: sum(({ probeMs }) => probeMs),
+    connectionMs: sum(({ connectionMs }) => connectionMs),
+    coldOverloads: sum(({ coldOverloads }) => coldOverloads),
+    unannouncedColdOverloads: sum(({ unannouncedColdOverloads }) => unannouncedColdOverloads),
+  };
+};
--- /dev/null
+++ b/packages/loadTool/src/plan.ts
@@ -0,0 +1,71 @@
+import { constants } from 'node:os';
+
+import { parseEndpoint } from '@bronzelift/common';
+import type { Endpoint } from '@bronzelift/common';
+import { z } from 'zod';
+
+import type { LoadOptions } from './types.js';
+
+const count = z.number().int().nonnegative();
+const durationMs = z.number().nonnegative();
+const rate = z.number().nonnegative();
+
+const endpoint = z.string().transform((text, context): Endpoint => {
+  const parsed = parseEndpoint(text);
+  if (parsed) return parsed;
+  context.addIssue({ code: 'custom', message: `"${text}" is not host:port` });
+  return z.NEVER;
+});
+
+const signal = z.custom<NodeJS.Signals>(
+  (value) => typeof value === 'string' && value in constants.signals,
+  'must be the name of a signal',
+);
+
+const fault = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('behavior'),
+    atMs: durationMs,
+    url: z.url(),
+    behavior: z.record(z.string(), z.unknown()),
+  }),
+  // Only a single process: 0 and negative ids would address process groups.
+  z.strictObject({
+    kind: z.literal('signal'),
+    atMs: durationMs,
+    pid: z.number().int().min(2),
+    signal,
+  }),
+]);
+
+/** Schema of a plan file for the load tool; endpoints are written `host:port`. */
+export const loadPlanSchema = z.strictObject({
+  name: z.string().optional(),
+  seed: z.number().int().default(1),
+  entryEndpoints: z.array(endpoint).min(1),
+  services: z
+    .array(
+      z.strictObject({
+        service: z.string().min(1),
+        lookupsPerSecond: rate,
+        ordersPerSecond: rate,
+        timeoutMs: durationMs.optional(),
+        patienceMs: durationMs.optional(),
+        responseBytes: count.optional(),
+      }),
+    )
+    .min(1),
+  durationMs,
+  profile: z
+    .array(z.strictObject({ atMs: durationMs, factor: rate, rampMs: durationMs.optional() }))
+    .optional(),
+  callers: count.min(1).optional(),
+  unknownRepeats: count.optional(),
+  faults: z.array(fault).optional(),
+  backendStandinUrls: z.array(z.url()).optional(),
+  settleMs: durationMs.optional(),
+  warmupMs: durationMs.optional(),
+});
+
+/** Reads a plan from JSON text; throws when it is invalid. */
+export const parseLoadPlan = (text: string): LoadOptions => loadPlanSchema.parse(JSON.parse(text));
--- /dev/null
+++ b/packages/loadTool/src/rateProfile.ts
@@ -0,0 +1,29 @@
+import { FLOOD_FACTOR, FLOOD_RAMP_MS } from './constants.js';
+import type { RateStep } from './types.js';
+
+/** Factor on the rates at a time; 1 before the first step. Steps are in order of time. */
+export const factorAt = (profile: readonly RateStep[], atMs: number): number => {
+  let factor = 1;
+  for (const step of profile) {
+    if (step.atMs > atMs) break;
+    const rampMs = step.rampMs ?? 0;
+    const progress = rampMs === 0 ? 1 : Math.min(1, (atMs - step.atMs) / rampMs);
+    factor += (step.factor - factor) * progress;
+  }
+  return factor;
+};
+
+/** Largest factor that a profile reaches. */
+export const maxFactor = (profile: readonly RateStep[]): number =>
+  Math.max(1, ...profile.map(({ factor }) => factor));
+
+/** A flood that starts at `atMs` and, if given, ends after `durationMs`. */
+export const floodProfile = (
+  atMs: number,
+  durationMs?: number,
+  factor = FLOOD_FACTOR,
+): RateStep[] => {
+  const start = { atMs, factor, rampMs: FLOOD_RAMP_MS };
+  if (durationMs === undefined) return [start];
+  return [start, { atMs: atMs + durationMs, factor: 1, rampMs: FLOOD_RAMP_MS }];
+};
--- /dev/null
+++ b/packages/loadTool/tests/arrivals.test.ts
@@ -0,0 +1,100 @@
+import { SeededRandom } from '@bronzelift/common';
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { generateArrivals } from '../src/arrivals.js';
+import { factorAt, floodProfile, parseLoadPlan } from '../src/index.js';
+import { auditOrders } from '../src/orderAudit.js';
+import type { OrderRecord } from '../src/orderAudit.js';
+
+const PROPERTY = process.env.SEED ? { seed: Number(process.env.SEED) } : {};
+
+const SERVICES = [
+  { service: 'a', lookupsPerSecond: 30, ordersPerSecond: 10 },
+  { service: 'b', lookupsPerSecond: 0, ordersPerSecond: 20 },
+];
+
+describe('generateArrivals', () => {
+  it('repeats for a seed, in order of time, at the rate of the profile', () => {
+    fc.assert(
+      fc.property(fc.integer(), fc.double({ min: 1, max: 20, noNaN: true }), (seed, factor) => {
+        const profile = [{ atMs: 10_000, factor }];
+        const draw = () => [
+          ...generateArrivals(SERVICES, profile, 20_000, SeededRandom.create(seed)),
+        ];
+        const arrivals = draw();
+        expect(arrivals).to.deep.equal(draw());
+        const times = arrivals.map(({ atMs }) => atMs);
+        expect(times).to.deep.equal([...times].sort((left, right) => left - right));
+        // Six standard deviations of a Poisson count: a correct generator exceeds them never.
+        const check = (count: number, mean: number): void => {
+          expect(Math.abs(count - mean)).to.be.below(6 * Math.sqrt(mean));
+        };
+        check(times.filter((atMs) => atMs < 10_000).length, 600);
+        check(times.filter((atMs) => atMs >= 10_000).length, 600 * factor);
+        const isMix = (service: string, kind: string) =>
+          arrivals.filter(
+            (arrival) => arrival.service.service === service && arrival.kind === kind,
+          );
+        check(isMix('a', 'lookup').length, 300 * (1 + factor));
+        check(isMix('a', 'order').length, 100 * (1 + factor));
+        expect(isMix('b', 'lookup')).to.deep.equal([]);
+      }),
+      { ...PROPERTY, numRuns: 30 },
+    );
+  });
+
+  it('reaches a flood of 20 times the load within a second, as the users describe it', () => {
+    const profile = floodProfile(5000, 10_000);
+    const factors = [0, 5500, 6000, 14_999, 16_000].map((atMs) => factorAt(profile, atMs));
+    expect(factors).to.deep.equal([1, 10.5, 20, 20, 1]);
+  });
+});
+
+describe('auditOrders', () => {
+  const run = { instanceId: 'i1', bootId: 'b', startedAtMs: 1, requestId: undefined };
+  const order = (keys: OrderRecord['keys'], verdict: OrderRecord['verdict']): OrderRecord => ({
+    callerPart: 'p',
+    keys,
+    verdict,
+  });
+  const report = (runs: Record<string, (typeof run)[]>) =>
+    [{ runs }] as unknown as Parameters<typeof auditOrders>[1];
+
+  it('finds an order that ran once under each of two tickets, which is a doubled order', () => {
+    const orders = [
+      order(
+        new Map([
+          ['t1~p', 'not-run' as const],
+          ['t2~p', 'ran' as const],
+        ]),
+        'served',
+      ),
+    ];
+    const audit = auditOrders(orders, report({ 't1~p': [run], 't2~p': [run] }));
+    expect(audit).to.include({ doubled: 1, lost: 0, runAfterNotRun: 1 });
+  });
+
+  it('finds an order answered as served that never ran, and judges nothing without reports', () => {
+    const orders = [order(new Map([['t1~p', 'ran' as const]]), 'served')];
+    expect(auditOrders(orders, report({ 't1~q': [run] }))).to.include({ lost: 1, doubled: 0 });
+    expect(auditOrders(orders, [])).to.include({ audited: false, lost: 0 });
+  });
+});
+
+describe('parseLoadPlan', () => {
+  const plan = {
+    entryEndpoints: ['127.0.0.1:4000'],
+    services: SERVICES,
+    durationMs: 1000,
+  };
+
+  it('rejects process groups and unknown signals, which would end processes of others', () => {
+    const parse = (fault: object) => () =>
+      parseLoadPlan(JSON.stringify({ ...plan, faults: [{ kind: 'signal', atMs: 0, ...fault }] }));
+    expect(parse({ pid: 4711, signal: 'SIGSTOP' })().entryEndpoints[0]!.port).to.equal(4000);
+    expect(parse({ pid: -1, signal: 'SIGKILL' })).to.throw();
+    expect(parse({ pid: 0, signal: 'SIGKILL' })).to.throw();
+    expect(parse({ pid: 4711, signal: 'SIGNONE' })).to.throw();
+  });
+});
--- /dev/null
+++ b/packages/loadTool/tests/runLoad.test.ts
@@ -0,0 +1,162 @@
+import type { Endpoint } from '@bronzelift/common';
+import { BackendStandin, planFleet } from '@bronzelift/standins';
+import { expect } from 'chai';
+
+import { formatComparison, formatResult, renderPlot, runLoad } from '../src/index.js';
+import type { LoadOptions, LoadResult } from '../src/index.js';
+import { FakeEntry } from './fakeEntry.js';
+import type { FakeMode } from './fakeEntry.js';
+
+const urlOf = ({ host, port }: Endpoint): string => `http://${host}:${port}`;
+
+const closedPort = async (): Promise<Endpoint> => {
+  const placeholder = new FakeEntry({ host: '127.0.0.1', port: 1 }, () => 'forward');
+  const endpoint = await placeholder.listen();
+  await placeholder.close();
+  return endpoint;
+};
+
+/** Runs a short load against a fake entry daemon before a real backend stand-in. */
+const runWith = async (
+  mode: FakeMode,
+  options: Partial<LoadOptions> = {},
+  extraAddresses: Endpoint[] = [],
+): Promise<LoadResult> => {
+  const instances = planFleet({
+    service: 's',
+    count: 1,
+    failureDomainIds: ['d1'],
+    slots: 64,
+    maxConnections: 1000,
+    meanServiceMs: 5,
+    connectionCostMs: 0,
+    startsCold: false,
+  });
+  const backend = BackendStandin.create({ instances });
+  const control = await backend.listen(0);
+  const entry = new FakeEntry(backend.endpointOf('s-1'), mode);
+  entry.extraAddresses = extraAddresses;
+  try {
+    return await runLoad({
+      seed: Number(process.env.SEED ?? 1),
+      entryEndpoints: [await entry.listen()],
+      services: [{ service: 's', lookupsPerSecond: 50, ordersPerSecond: 50, patienceMs: 2000 }],
+      durationMs: 1000,
+      callers: 3,
+      settleMs: 50,
+      backendStandinUrls: [urlOf(control)],
+      ...options,
+    });
+  } finally {
+    await entry.close();
+    await backend.close();
+  }
+};
+
+const isOrder = (method: string | undefined): boolean => method === 'POST';
+
+describe('runLoad', () => {
+  it('counts every request as served by a system without faults, and audits the orders', async () => {
+    const result = await runWith(() => 'forward');
+    const { lookups, orders, score, seconds } = result.total;
+    expect(lookups.offered).to.be.within(20, 90);
+    expect([lookups.served, orders.served]).to.deep.equal([lookups.offered, orders.offered]);
+    expect(score).to.equal(1);
+    expect(seconds[0]).to.include({ offered: lookups.offered + orders.offered, refused: 0 });
+    expect(orders.addedTime.count).to.equal(orders.served);
+    expect(orders.latency.p50Ms).to.be.at.least(3);
+    expect(result.orderAudit).to.include({ audited: true, doubled: 0, lost: 0, runAfterNotRun: 0 });
+    expect(formatResult(result)).to.include('orders doubled');
+    expect(formatComparison(result, result)).to.include('s lookups latency p99');
+    expect(renderPlot(result)).to.include('<polyline');
+  });
+
+  it('finds orders run twice, which a system must never do', async () => {
+    const result = await runWith((nth, { method }) =>
+      isOrder(method) && nth % 5 === 0 ? 'forward-twice' : 'forward',
+    );
+    expect(result.orderAudit.doubled).to.be.above(0);
+    expect(result.orderAudit.findings[0]?.finding).to.equal('doubled');
+  });
+
+  it('finds orders that ran although the last answer was not-run', async () => {
+    const result = await runWith(() => 'deny');
+    const { orders } = result.total;
+    expect(orders.refusedByCode).to.deep.equal({ deny: orders.offered });
+    expect(result.orderAudit.runAfterNotRun).to.equal(orders.offered);
+    expect(result.orderAudit.doubled).to.equal(0);
+  });
+
+  it('finds damaged answers, so that wrong responses never count as served', async () => {
+    const { lookups, orders } = (await runWith(() => 'damage')).total;
+    expect([lookups.served, orders.served]).to.deep.equal([0, 0]);
+    expect(lookups.wrongAnswers).to.equal(lookups.offered);
+  });
+
+  it('comes back after a refusal, with a new key when told so, within its patience', async () => {
+    const seen = new Map<string, number>();
+    const keys = new Set<string>();
+    const result = await runWith((_, { method, url, headers }) => {
+      const key = String(headers['idempotency-key'] ?? url);
+      keys.add(key);
+      seen.set(key, (seen.get(key) ?? 0) + 1);
+      if (key.startsWith('v1.a.1.c.1.0~')) return 'forward';
+      if (isOrder(method)) return seen.get(key) === 1 ? 'new-ticket' : 'forward';
+      return seen.get(key) === 1 ? 'refuse' : 'forward';
+    });
+    expect(result.total.score).to.equal(1);
+    expect(result.orderAudit).to.include({ doubled: 0, lost: 0 });
+    const newKeys = [...keys].filter((key) => key.startsWith('v1.a.1.c.1.0~'));
+    expect(newKeys).to.have.length(result.total.orders.offered);
+  });
+
+  it('repeats an order with the same key after unknown or no answer, but not a lookup', async () => {
+    const seen = new Map<string, number>();
+    const result = await runWith((_, { method, headers }) => {
+      const key = String(headers['idempotency-key']);
+      if (!isOrder(method)) return 'unknown';
+      seen.set(key, (seen.get(key) ?? 0) + 1);
+      if (seen.get(key) === 1) return 'drop';
+      return seen.get(key) === 2 ? 'unknown' : 'forward';
+    });
+    const { lookups, orders } = result.total;
+    expect(orders.served).to.equal(orders.offered);
+    expect([...seen.values()].every((count) => count === 3)).to.equal(true);
+    expect(lookups.unknownByCode).to.deep.equal({ unknown: lookups.offered });
+    expect(lookups.attempts).to.equal(lookups.offered);
+  });
+
+  it('tries another address when a connection is refused, without any loss of service', async () => {
+    const result = await runWith(() => 'forward', {}, [await closedPort()]);
+    expect(result.total.score).to.equal(1);
+  });
+
+  it('reports unreachable when there is no system at all', async () => {
+    const services = [{ service: 's', lookupsPerSecond: 20, ordersPerSecond: 0, patienceMs: 300 }];
+    const entryEndpoints = [await closedPort()];
+    const { total } = await runWith(() => 'forward', { services, entryEndpoints });
+    expect(total.lookups.refusedByCode).to.deep.equal({ unreachable: total.lookups.offered });
+  });
+
+  it('applies scheduled faults and reports those that fail', async () => {
+    let called = 0;
+    const entry = await closedPort();
+    const { faults } = await runWith(() => 'forward', {
+      faults: [
+        {
+          kind: 'callback',
+          atMs: 100,
+          name: 'count',
+          run: () => {
+            called += 1;
+          },
+        },
+        { kind: 'behavior', atMs: 200, url: urlOf(entry), behavior: { kind: 'freeze' } },
+        { kind: 'signal', atMs: 300, pid: process.pid, signal: 'SIGCONT' },
+      ],
+    });
+    expect(called).to.equal(1);
+    expect(faults.map(({ error }) => error === undefined)).to.deep.equal([true, false, true]);
+    expect(faults[0]!.appliedAtMs).to.be.at.least(100);
+  });
+});
