--- a/packages/loadTool/src/caller.ts
+++ b/packages/loadTool/src/caller.ts
@@ -7,8 +7,14 @@
 import { AddressBook } from './addressBook.js';
 import type { KnownAddresses } from './addressBook.js';
 import type { Arrival } from './arrivals.js';
-import { ANSWER_GRACE_MS, LOAD_DEFAULTS, RETRY_PAUSE_MS, TICKET_SEPARATOR } from './constants.js';
-import { sendRequest } from './httpClient.js';
+import {
+  ANSWER_GRACE_MS,
+  LOAD_DEFAULTS,
+  MIN_ATTEMPT_MS,
+  RETRY_PAUSE_MS,
+  TICKET_SEPARATOR,
+} from './constants.js';
+import { TIMEOUT_CODE, sendRequest } from './httpClient.js';
 import type { Attempt } from './httpClient.js';
 import { RequestTrace } from './requestTrace.js';
 import { codeOf, isExpectedBody, numberHeader, textHeader } from './utils.js';
@@ -30,6 +36,8 @@
 
 type Answer = Extract<Attempt, { kind: 'answer' }>;
 
+type NoAnswer = Extract<Attempt, { kind: 'no-answer' }>;
+
 /** Whether the request is finished or is to be sent again after a pause. */
 type Step = { readonly done: true } | { readonly done: false; readonly pauseMs: number };
 
@@ -63,9 +71,9 @@
     const { clock, runId } = this.options;
     const trace = RequestTrace.create(arrival, `${runId}-${arrival.index}`, intendedAtMs);
     const untilMs = intendedAtMs + (arrival.service.patienceMs ?? LOAD_DEFAULTS.patienceMs);
-    while (clock.monotonicMs() < untilMs) {
+    for (;;) {
       const step = await this.attempt(trace, untilMs);
-      if (step.done || clock.monotonicMs() + step.pauseMs >= untilMs) break;
+      if (step.done || clock.monotonicMs() + step.pauseMs + MIN_ATTEMPT_MS > untilMs) break;
       if (step.pauseMs > 0) await sleep(step.pauseMs);
     }
     trace.finish(clock.monotonicMs());
@@ -117,11 +125,9 @@
     switch (attempt.kind) {
       case 'connect-failed':
         trace.noteUnreachable();
-        return this.addresses.drop(trace.arrival.service.service, target.endpoint) > 0
-          ? again(0)
-          : again(RETRY_PAUSE_MS);
+        return again(this.dropAddress(trace, target) > 0 ? 0 : RETRY_PAUSE_MS);
       case 'no-answer':
-        return this.noteUnknown(trace, attempt.code, attempt.reusedConnection);
+        return this.evaluateNoAnswer(trace, target, attempt);
       case 'incomplete':
         trace.noteIncomplete();
         return this.noteUnknown(trace, 'incomplete', false);
@@ -132,12 +138,22 @@
     }
   }
 
+  private evaluateNoAnswer(trace: RequestTrace, target: Target, attempt: NoAnswer): Step {
+    const isTimeout = attempt.code === TIMEOUT_CODE;
+    if (isTimeout) this.dropAddress(trace, target);
+    return this.noteUnknown(trace, attempt.code, attempt.reusedConnection && !isTimeout);
+  }
+
+  private dropAddress(trace: RequestTrace, target: Target): number {
+    return this.addresses.drop(trace.arrival.service.service, target.endpoint);
+  }
+
   private evaluateAnswer(trace: RequestTrace, answer: Answer): Step {
     const outcome = textHeader(answer.headers, CallerHeader.outcome);
     const isSuccess = answer.status >= 200 && answer.status < 300;
     if (outcome === Outcome.notRun) return Caller.noteNotRun(trace, answer);
     if (outcome === Outcome.unknown) return this.noteUnknown(trace, codeOf(answer), false);
-    if (outcome !== Outcome.ran && !isSuccess) {
+    if (outcome !== Outcome.ran) {
       return this.noteUnknown(trace, `no-outcome-${answer.status}`, false);
     }
     if (!isSuccess) trace.noteFailed(`status-${answer.status}`);
@@ -157,12 +173,12 @@
     return again(numberHeader(answer.headers, CallerHeader.retryAfterMs) ?? RETRY_PAUSE_MS);
   }
 
-  private noteUnknown(trace: RequestTrace, code: string, reusedConnection: boolean): Step {
+  private noteUnknown(trace: RequestTrace, code: string, closedOnReuse: boolean): Step {
     trace.noteUnknown(code);
     if (trace.isOrder) {
       return trace.unknownAttempts <= this.options.unknownRepeats ? again(RETRY_PAUSE_MS) : DONE;
     }
     // As usual for idempotent requests: a kept connection may close just as it is used again.
-    return reusedConnection && trace.unknownAttempts === 1 ? again(0) : DONE;
+    return closedOnReuse && trace.unknownAttempts === 1 ? again(0) : DONE;
   }
 }
--- a/packages/loadTool/src/constants.ts
+++ b/packages/loadTool/src/constants.ts
@@ -24,6 +24,9 @@
 /** Time limit of a request for the addresses of a service. */
 export const ADDRESSES_TIMEOUT_MS = 1000;
 
+/** A caller starts no attempt with less time left, because it could only end as unknown. */
+export const MIN_ATTEMPT_MS = 50;
+
 /** Pause before asking again after no entry VM gave addresses, and before repeating an order. */
 export const RETRY_PAUSE_MS = 100;
 
--- a/packages/loadTool/src/httpClient.ts
+++ b/packages/loadTool/src/httpClient.ts
@@ -28,7 +28,8 @@
       readonly body: string;
     };
 
-const TIMEOUT_CODE = 'timeout';
+/** Code of an attempt that ended by its time limit. */
+export const TIMEOUT_CODE = 'timeout';
 
 const readAnswer = (incoming: IncomingMessage, settle: (attempt: Attempt) => void): void => {
   const chunks: Buffer[] = [];
--- a/packages/loadTool/src/recorder.ts
+++ b/packages/loadTool/src/recorder.ts
@@ -16,10 +16,10 @@
 }
 
 const summarizeSecond = (second: number, counts: SecondCounts): SecondResult => {
-  const { offered, served, refused, unknown } = counts;
+  const { offered, served, refused, unknown, failed } = counts;
   const sorted = [...counts.latenciesMs].sort((left, right) => left - right);
   const p99Ms = sorted[Math.max(0, Math.ceil(sorted.length * P99) - 1)] ?? 0;
-  return { second, offered, served, refused, unknown, p99Ms };
+  return { second, offered, served, refused, unknown, failed, p99Ms };
 };
 
 /** Served share with orders counted double; 1 when nothing was offered. */
--- a/packages/loadTool/src/types.ts
+++ b/packages/loadTool/src/types.ts
@@ -87,6 +87,7 @@
   readonly served: number;
   readonly refused: number;
   readonly unknown: number;
+  readonly failed: number;
   readonly p99Ms: number;
 }
 
--- a/packages/standins/src/backendStandin.ts
+++ b/packages/standins/src/backendStandin.ts
@@ -49,6 +49,7 @@
 
   /** Opens the ports of all instances and the control port, whose address it returns. */
   async listen(port: number, host = '127.0.0.1'): Promise<Endpoint> {
+    if (this.listeningSinceMs > 0) throw StepError.create('listen', 'local', 'listening already');
     await Promise.all(this.backends.map((backend) => backend.listen(host)));
     this.listeningSinceMs = this.clock.wallMs();
     return this.server.listen(port, host);
@@ -84,7 +85,7 @@
       runs: this.registry.reportRuns(),
       coldOverloads: sum((instance) => instance.coldOverloads),
       unannouncedColdOverloads: sum((instance) => instance.unannouncedColdOverloads),
-      coldOverloadDetails: [...this.registry.coldOverloads],
+      coldOverloadDetails: this.registry.reportOverloads(),
     };
   }
 
--- a/packages/standins/src/constants.ts
+++ b/packages/standins/src/constants.ts
@@ -38,5 +38,8 @@
   connectionCostMs: 1,
 } as const;
 
+/** Cold overloads described in a report; the counts cover all of them. */
+export const MAX_OVERLOAD_DETAILS = 1000;
+
 /** Pause between the bytes of a cut response and the reset, so that the bytes arrive first. */
 export const CUT_RESET_DELAY_MS = 5;
--- a/packages/standins/src/instanceWork.ts
+++ b/packages/standins/src/instanceWork.ts
@@ -223,7 +223,7 @@
       cause,
       sinceColdMs,
     };
-    this.registry.coldOverloads.push(overload);
+    this.registry.recordOverload(overload);
     if (cause === 'start') this.counts.coldOverloads += 1;
     else this.counts.unannouncedColdOverloads += 1;
     this.stalledUntilMs = Math.max(this.stalledUntilMs, nowMs + this.settings.stallMs);
--- a/packages/standins/src/runRegistry.ts
+++ b/packages/standins/src/runRegistry.ts
@@ -1,5 +1,6 @@
 import type { FailureDomainId } from '@bronzelift/common';
 
+import { MAX_OVERLOAD_DETAILS } from './constants.js';
 import type { ColdOverload, DomainReport, RunRecord } from './types.js';
 
 /** What all instances of a backend stand-in count together. */
@@ -11,7 +12,7 @@
     { -readonly [K in keyof DomainReport]: DomainReport[K] }
   >();
 
-  readonly coldOverloads: ColdOverload[] = [];
+  private readonly overloads: ColdOverload[] = [];
 
   private constructor() {
     // Use create.
@@ -29,6 +30,16 @@
     else this.runs.set(key, [run]);
   }
 
+  /** Describes a cold overload, up to the limit of the report. */
+  recordOverload(overload: ColdOverload): void {
+    if (this.overloads.length < MAX_OVERLOAD_DETAILS) this.overloads.push(overload);
+  }
+
+  /** Descriptions of cold overloads. */
+  reportOverloads(): readonly ColdOverload[] {
+    return [...this.overloads];
+  }
+
   /** Notes that a request for work arrived in a failure domain. */
   recordArrival(failureDomainId: FailureDomainId, atMs: number): void {
     this.domain(failureDomainId).lastArrivalAtMs = atMs;
