--- a/packages/loadTool/src/faults.ts
+++ b/packages/loadTool/src/faults.ts
@@ -1,8 +1,9 @@
 import type { Clock } from '@bronzelift/common';
-import { assertNever, describeError, sleep } from '@bronzelift/common';
+import { assertNever, describeError } from '@bronzelift/common';
 
 import { postBehavior } from './standinClient.js';
 import type { FaultResult, ScheduledFault } from './types.js';
+import { sleepUntil } from './utils.js';
 
 const describeFault = (fault: ScheduledFault): string => {
   switch (fault.kind) {
@@ -41,7 +42,7 @@
 ): Promise<FaultResult[]> =>
   Promise.all(
     faults.map(async (fault) => {
-      await sleep(Math.max(0, fault.atMs - (clock.monotonicMs() - startMs)));
+      await sleepUntil(clock, startMs + fault.atMs);
       const appliedAtMs = clock.monotonicMs() - startMs;
       const error = await applyFault(fault).then(() => undefined, describeError);
       return { atMs: fault.atMs, description: describeFault(fault), appliedAtMs, error };
--- a/packages/loadTool/src/runLoad.ts
+++ b/packages/loadTool/src/runLoad.ts
@@ -11,6 +11,7 @@
 import type { RequestTrace } from './requestTrace.js';
 import { readBackendReport } from './standinClient.js';
 import type { LoadOptions, LoadResult } from './types.js';
+import { sleepUntil } from './utils.js';
 
 const BASE_36 = 36;
 const TOTAL_NAME = 'total';
@@ -75,13 +76,12 @@
     SeededRandom.create(seed),
   )) {
     const dueMs = startMs + arrival.atMs;
-    const waitMs = dueMs - clock.monotonicMs();
-    if (waitMs > 0) await sleep(Math.ceil(waitMs));
+    await sleepUntil(clock, dueMs);
     maxLagMs = Math.max(maxLagMs, clock.monotonicMs() - dueMs);
     const caller = callers[arrival.index % callers.length]!;
     pending.push(caller.perform(arrival, dueMs).then((trace) => collector.add(trace)));
   }
-  await sleep(Math.max(0, startMs + durationMs - clock.monotonicMs()));
+  await sleepUntil(clock, startMs + durationMs);
   await Promise.all(pending);
   return maxLagMs;
 };
--- a/packages/loadTool/src/utils.ts
+++ b/packages/loadTool/src/utils.ts
@@ -1,5 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
+import type { Clock } from '@bronzelift/common';
+import { sleep } from '@bronzelift/common';
 import { expectedBody } from '@bronzelift/standins';
 import { z } from 'zod';
 
@@ -7,6 +9,13 @@
 
 const refusalSchema = z.object({ code: z.string() });
 
+/** Waits until a monotonic time; never returns early, although timers may fire up to 1 ms early. */
+export const sleepUntil = async (clock: Clock, dueMs: number): Promise<void> => {
+  for (let waitMs = dueMs - clock.monotonicMs(); waitMs > 0; waitMs = dueMs - clock.monotonicMs()) {
+    await sleep(Math.ceil(waitMs));
+  }
+};
+
 /** A header with a single value. */
 export const textHeader = (headers: IncomingHttpHeaders, name: string): string | undefined => {
   const value = headers[name];
