--- a/packages/orders/src/orderContext.ts
+++ b/packages/orders/src/orderContext.ts
@@ -22,8 +22,8 @@
   readonly runner: OrderRunner;
   readonly limits: RegistryLimits;
   readonly onViolation: ViolationHandler;
-  /** Waits for a duration in milliseconds. */
-  readonly sleep: (durationMs: number) => Promise<unknown>;
+  /** Waits for a duration in milliseconds or until the signal; does not reject. */
+  readonly sleep: (durationMs: number, signal?: AbortSignal) => Promise<unknown>;
 }
 
 /** Result of an attempt; the witness decides when it has taken the key over. */
--- a/packages/orders/src/orderExecutor.ts
+++ b/packages/orders/src/orderExecutor.ts
@@ -96,11 +96,14 @@
   private async waitForAttempt(key: OrderKey, request: OrderRequest): Promise<AttemptResult> {
     const attempt = this.generation.attempts.get(key.text);
     if (attempt === undefined) return unknown(OrderCode.internal);
-    const remainingMs = request.deadlineAtMs - this.dependencies.clock.wallMs();
+    const remainingMs = Math.max(0, request.deadlineAtMs - this.dependencies.clock.wallMs());
+    const timer = new AbortController();
     const timeout = this.dependencies
-      .sleep(Math.max(0, remainingMs) + DEADLINE_GRACE_MS)
+      .sleep(remainingMs + DEADLINE_GRACE_MS, timer.signal)
       .then(() => unknown(OrderCode.deadline));
-    return Promise.race([attempt.result.promise, timeout]);
+    const result = await Promise.race([attempt.result.promise, timeout]);
+    timer.abort();
+    return result;
   }
 
   private async runAttempt(
@@ -112,6 +115,7 @@
       const permission = await this.obtainPermission(attempt, request, requestHash);
       if (permission.kind === 'taken-over') return this.yieldToWitness(attempt);
       if (permission.kind === 'refused') return this.settleNotRun(attempt, permission.code);
+      if (this.isDiscarded()) return this.settleNotRun(attempt, OrderCode.evicted);
       attempt.allow(permission.basis);
       this.generation.registry.startRun(attempt.key, attempt.number, permission.basis);
     }
--- a/packages/orders/src/orderRoutes.ts
+++ b/packages/orders/src/orderRoutes.ts
@@ -63,19 +63,19 @@
 });
 
 /** Reads a body; undefined when it is larger than allowed. Rejects when it is cut off. */
-const readBody = async (
-  request: IncomingMessage,
-  maxBytes: number,
-): Promise<Uint8Array | undefined> => {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  for await (const chunk of request as AsyncIterable<Uint8Array>) {
-    size += chunk.byteLength;
-    if (size > maxBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-};
+const readBody = (request: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined> =>
+  new Promise((resolve, reject) => {
+    const chunks: Uint8Array[] = [];
+    let size = 0;
+    request.on('data', (chunk: Uint8Array) => {
+      size += chunk.byteLength;
+      if (size <= maxBytes) chunks.push(chunk);
+      else resolve(undefined);
+    });
+    request.on('end', () => resolve(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks)));
+    request.on('error', reject);
+    request.on('close', () => reject(new Error('request was cut off')));
+  });
 
 const writeReply = (response: ServerResponse, reply: Reply): void => {
   response.writeHead(reply.status, { 'content-length': reply.body.byteLength }).end(reply.body);
--- a/packages/orders/src/peerCall.ts
+++ b/packages/orders/src/peerCall.ts
@@ -1,6 +1,11 @@
 import { Agent, request as createRequest } from 'node:http';
 
-import type { ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import type {
+  ClientRequest,
+  IncomingHttpHeaders,
+  IncomingMessage,
+  OutgoingHttpHeaders,
+} from 'node:http';
 import type { Endpoint } from '@bronzelift/common';
 import { CONNECT_TIMEOUT_MS } from './constants.js';
 
@@ -40,14 +45,6 @@
   }
 };
 
-const toRequestHeaders = (headers: HeaderMap): Record<string, string | string[]> =>
-  Object.fromEntries(
-    Object.entries(headers).map(([name, value]) => [
-      name,
-      typeof value === 'string' ? value : [...value],
-    ]),
-  );
-
 const isWhole = (response: IncomingMessage, body: Uint8Array): boolean => {
   const expected = response.headers['content-length'];
   return response.complete && (expected === undefined || Number(expected) === body.byteLength);
@@ -82,30 +79,28 @@
   new Promise((resolve) => {
     let isConnected = false;
     const { host, port } = call.endpoint;
-    const headers = { ...toRequestHeaders(call.headers), 'content-length': call.body.byteLength };
+    const headers = {
+      ...call.headers,
+      'content-length': call.body.byteLength,
+    } as OutgoingHttpHeaders;
     const { method, path } = call;
     const request = createRequest({ host, port, method, path, headers, agent: agent ?? false });
+    const settle = (): void => resolve({ kind: isConnected ? 'no-response' : 'not-reached' });
     const fail = (): void => {
       request.destroy();
-      resolve({ kind: isConnected ? 'no-response' : 'not-reached' });
+      settle();
     };
-    const timeout = setTimeout(fail, call.timeoutMs);
-    const connectTimeout = setTimeout(
-      () => {
-        if (!isConnected) fail();
-      },
-      Math.min(CONNECT_TIMEOUT_MS, call.timeoutMs),
-    );
+    let timer = setTimeout(fail, Math.min(CONNECT_TIMEOUT_MS, call.timeoutMs));
     watchConnection(request, () => {
       isConnected = true;
-      clearTimeout(connectTimeout);
+      clearTimeout(timer);
+      timer = setTimeout(fail, call.timeoutMs);
     });
     request.on('response', (response) => readResponse(response, resolve));
     request.on('error', fail);
     request.on('close', () => {
-      clearTimeout(timeout);
-      clearTimeout(connectTimeout);
-      resolve({ kind: isConnected ? 'no-response' : 'not-reached' });
+      clearTimeout(timer);
+      settle();
     });
     request.end(call.body);
   });
