--- a/packages/orders/tests/orderModel.ts
+++ b/packages/orders/tests/orderModel.ts
@@ -204,7 +204,10 @@
 
   private resume(process: Process): void {
     process.isFrozen = false;
-    process.held.splice(0).forEach((action) => this.schedule(0, process, action));
+    // In any order, so that the member may act before it learns what it has missed.
+    process.held
+      .splice(0)
+      .forEach((action) => this.schedule(randomInteger(this.random, 0, 400), process, action));
   }
 
   private schedule(delayMs: number, owner: Process | undefined, action: () => unknown): void {
@@ -372,6 +375,7 @@
       owner.leaseUntilMs,
       this.clock.monotonicMs() + request.deadlineAtMs - this.nowMs(),
     );
+    if (this.clock.monotonicMs() >= fenceMs) this.violations.push('sent after the fence');
     const response = await new Promise<'ran' | 'fenced' | 'lost'>((resolve) => {
       this.schedule(this.latencyMs(), undefined, () => {
         const isFenced = this.clock.monotonicMs() >= fenceMs;
--- a/packages/orders/tests/orders.property.test.ts
+++ b/packages/orders/tests/orders.property.test.ts
@@ -8,9 +8,22 @@
 
 type FailureKind = 'freeze' | 'isolate' | 'kill' | 'restart' | 'leave';
 
-type Operation =
-  | { kind: 'call'; atMs: number; vm: number; key: number; durationMs: number }
-  | { kind: FailureKind; atMs: number; vm: number; durationMs: number };
+interface CallOperation {
+  kind: 'call';
+  atMs: number;
+  vm: number;
+  key: number;
+  durationMs: number;
+}
+
+interface FailureOperation {
+  kind: FailureKind;
+  atMs: number;
+  vm: number;
+  durationMs: number;
+}
+
+type Operation = CallOperation | FailureOperation;
 
 const KEY_COUNT = 3;
 const SCHEDULE_MS = 15_000;
@@ -56,6 +69,22 @@
   refusalPercent: 0,
 };
 
+/** The home acts alone and dies; then the evicted witness resumes and does not know it yet. */
+const STALE_WITNESS = Array.from(
+  { length: 20 },
+  (_, seed): [Disturbance, CallOperation[], FailureOperation[]] => [
+    { seed, ...QUIET },
+    [
+      { kind: 'call', atMs: 9000, vm: 0, key: 0, durationMs: 1000 },
+      { kind: 'call', atMs: 10_600, vm: 1, key: 0, durationMs: 6000 },
+    ],
+    [
+      { kind: 'freeze', atMs: 1000, vm: 1, durationMs: 10_000 },
+      { kind: 'kill', atMs: 10_500, vm: 0, durationMs: 50 },
+    ],
+  ],
+);
+
 const apply = (model: OrderModel, keys: string[], operation: Operation): void => {
   if (model.processes[operation.vm]!.diedAtMs !== undefined && operation.kind !== 'restart') return;
   switch (operation.kind) {
@@ -146,7 +175,7 @@
           checkSafety(model);
         },
       ),
-      runParameters,
+      { ...runParameters, examples: STALE_WITNESS },
     );
   });
 
