--- a/packages/admission/src/createLanes.ts
+++ b/packages/admission/src/createLanes.ts
@@ -5,8 +5,8 @@
 
 /**
  * Creates a paused p-queue and gives access to its lanes. Requests are removed
- * from the lanes directly, because p-queue's abort signals more than double the time of a request
- * that waits (bench/admitCost.ts); the promise that p-queue made for it is then never settled.
+ * from the lanes directly, because p-queue's abort signals about double the time of a request that
+ * waits (bench/admitCost.ts); the promise that p-queue made for it is then never settled.
  */
 export const createLanes = (): { queue: PQueue<LaneQueue, LaneOptions>; lanes: LaneQueue } => {
   const created: LaneQueue[] = [];
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -121,7 +121,7 @@
     };
   }
 
-  /** The histogram of this name and these labels; about 14 KB each. */
+  /** The histogram of this name and these labels; about 13 KB each. */
   histogram(name: string, labels: MetricLabels = {}): DurationHistogram {
     const series = getOrAdd(this.histograms, formatMetricKey(name, labels), () => ({
       name,
