Add the demonstration: both deployments with load and a report

Cause: the README's first command needs a run that shows the whole path. Change: npm start brings up both deployments at small size, sends mixed lookups and orders through all entry daemons and exits with 0 only if nothing was doubled, lost or wrong.

--- /dev/null
+++ b/apps/demo/src/demoLoads.ts
@@ -0,0 +1,27 @@
+import { SHAPES } from '@bronzelift/local-deployment';
+import type { DeploymentShape } from '@bronzelift/local-deployment';
+import type { ServiceLoad } from '@bronzelift/load-tool';
+
+/** A deployment with the load that the demonstration sends to it. */
+export interface DemoCase {
+  readonly shape: DeploymentShape;
+  readonly services: readonly ServiceLoad[];
+}
+
+/** Both deployments of the design page at small size. */
+export const DEMO_CASES: readonly DemoCase[] = [
+  {
+    shape: SHAPES.mantelmaatSmall,
+    services: [
+      { service: 'profiles', lookupsPerSecond: 120, ordersPerSecond: 20 },
+      { service: 'sizes', lookupsPerSecond: 60, ordersPerSecond: 0 },
+    ],
+  },
+  {
+    shape: SHAPES.authoritySmall,
+    services: [
+      { service: 'loans', lookupsPerSecond: 100, ordersPerSecond: 20 },
+      { service: 'calibrations', lookupsPerSecond: 60, ordersPerSecond: 0 },
+    ],
+  },
+];
--- a/packages/controlLog/src/fold.ts
+++ b/packages/controlLog/src/fold.ts
@@ -29,6 +29,8 @@
     applyId: record.applyId,
     configurationText: record.text,
     configuration: parsed.val,
+    // Instances decide about slots as the roster does, so slots that move have to be settled too.
+    epoch: state.epoch + 1,
   };
   return { kind: 'accepted', state: next, version: version + 1 };
 };
--- a/packages/controlLog/src/logClient.ts
+++ b/packages/controlLog/src/logClient.ts
@@ -135,7 +135,7 @@
       endpoint: this.options.endpoint,
       headers: {
         'content-type': 'application/json',
-        'bronzelift-client-id': this.options.clientId,
+        'x-client-id': this.options.clientId,
       },
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       totalTimeoutMs: REQUEST_TIMEOUT_MS,
--- a/packages/controlLog/src/types.ts
+++ b/packages/controlLog/src/types.ts
@@ -25,7 +25,7 @@
   readonly drainRevision: number;
   /** Sorted. */
   readonly takenOut: readonly Target[];
-  /** Number of changes of `members`. */
+  /** Number of changes of `members` and of accepted configurations: what decides about slots. */
   readonly epoch: number;
   /** Sorted by vmId; one incarnation for each VM. */
   readonly members: readonly RosterMember[];
--- a/packages/entryDaemon/src/entryDaemon.ts
+++ b/packages/entryDaemon/src/entryDaemon.ts
@@ -45,6 +45,8 @@
 import { SlotDirectory } from './slotDirectory.js';
 import type { EpochState } from './slotDirectory.js';
 
+const MS_PER_S = 1_000;
+
 /** What a daemon takes from its process. */
 export interface EntryDaemonOptions {
   readonly settings: EntrySettings;
@@ -116,6 +118,12 @@
 
   private lastTickMs: number;
 
+  private readonly startedAtMs: number;
+
+  private configurationVersion = 0;
+
+  private configurationAtMs: number;
+
   private readonly coldSeenAtMs = new Map<InstanceId, number>();
 
   private readonly stopping = new AbortController();
@@ -123,6 +131,8 @@
   private constructor(private readonly options: EntryDaemonOptions) {
     const { clock, random, settings } = options;
     this.lastTickMs = clock.monotonicMs();
+    this.startedAtMs = this.lastTickMs;
+    this.configurationAtMs = this.lastTickMs;
     this.log = DecisionLog.create({ clock });
     this.invariants = Invariants.create({ clock, log: this.log, metrics: this.metrics });
     this.session = this.createSession();
@@ -277,37 +287,53 @@
   /** State for the admin port. */
   status(): Record<string, unknown> {
     const { state } = this.control;
-    const { lease } = this.session;
-    const lastReadMs = this.control.reader.lastReadStartedAtMs;
+    const { lease, self } = this.session;
+    const instances = this.slots.allInstances();
+    const violations = this.invariants.snapshot();
     return {
-      vmId: this.session.self.vmId,
-      incarnation: this.session.self.incarnation,
-      failureDomainId: this.session.self.failureDomainId,
+      vmId: self.vmId,
+      incarnation: self.incarnation,
+      failureDomainId: self.failureDomainId,
       phase: Phase[this.phase].toLowerCase(),
       isReady: this.phase === Phase.SERVING && lease.isLeaseHeld(),
       configurationVersion: state.configurationVersion,
+      configurationAgeMs: this.now() - this.configurationAtMs,
       drainRevision: state.drainRevision,
       takenOut: state.takenOut,
-      logAgeMs: lastReadMs === undefined ? undefined : this.now() - lastReadMs,
+      logAgeMs: this.logAgeMs() ?? null,
       epoch: lease.epoch,
       members: state.members.length,
-      isLeaseHeld: lease.isLeaseHeld(),
+      leaseHeld: lease.isLeaseHeld(),
       leaseRemainingMs: lease.leaseRemainingMs(),
       freshnessRemainingMs: lease.freshnessRemainingMs(),
       isSettled: lease.isSettled(),
+      slotsHeld: instances.reduce((sum, one) => sum + one.heldCount, 0),
+      slotsInUse: instances.reduce((sum, one) => sum + one.inUseCount, 0),
+      probeSpendingMsPerS: this.probeSpendingMsPerS(),
       services: this.slots.allServices().map((service) => ({
         service: service.name,
         ...service.queue.stats(),
         freeSlots: service.freeSlots(),
       })),
-      instances: this.slots.allInstances().map((one) => one.status()),
+      instances: instances.map((one) => one.status()),
       orders: this.orders.coordinator.stats(),
-      violations: this.invariants.snapshot().counts,
-      latestViolations: this.invariants.snapshot().latest,
+      violations: violations.counts,
+      latestViolations: violations.latest,
       logLines: this.log.counts(),
     };
   }
 
+  private logAgeMs(): number | undefined {
+    const lastReadMs = this.control.reader.lastReadStartedAtMs;
+    return lastReadMs === undefined ? undefined : this.now() - lastReadMs;
+  }
+
+  /** Mean since the start. */
+  private probeSpendingMsPerS(): number {
+    const spentMs = this.slots.allInstances().reduce((sum, one) => sum + one.probeSpentMs, 0);
+    return (spentMs * MS_PER_S) / Math.max(1, this.now() - this.startedAtMs);
+  }
+
   private now(): number {
     return this.options.clock.monotonicMs();
   }
@@ -334,7 +360,7 @@
       controlState: () => this.control.state,
       stateJson: () => encodeState(this.control.state),
       phase: () => this.phase,
-      logAgeMs: () => this.now() - (this.control.reader.lastReadStartedAtMs ?? 0),
+      logAgeMs: () => this.logAgeMs() ?? this.now() - this.startedAtMs,
       serviceLoads: () => this.serviceLoads(),
       observations: () => this.observations(),
       onPeerState: (json) => this.takePeerState(json),
@@ -431,6 +457,10 @@
       drainRevision: state.drainRevision,
       epoch: state.epoch,
     });
+    if (state.configurationVersion > this.configurationVersion) {
+      this.configurationVersion = state.configurationVersion;
+      this.configurationAtMs = this.now();
+    }
     this.applyAvailability();
     this.takeRoster(state, epochs);
     this.session.heartbeats.sendNow();
--- a/packages/entryDaemon/src/instanceRuntime.ts
+++ b/packages/entryDaemon/src/instanceRuntime.ts
@@ -104,6 +104,10 @@
     return this.outSinceMs === undefined && !this.isDraining;
   }
 
+  get heldCount(): number {
+    return this.held.length;
+  }
+
   get inUseCount(): number {
     return this.inUse.size;
   }
--- a/packages/localDeployment/src/localDeployment.ts
+++ b/packages/localDeployment/src/localDeployment.ts
@@ -40,7 +40,7 @@
   readonly configurationVersion: number;
   readonly drainRevision: number;
   readonly members: number;
-  readonly isLeaseHeld: boolean;
+  readonly leaseHeld: boolean;
   readonly isSettled: boolean;
   readonly violations: Readonly<Record<string, number>>;
 }
