standins: fail-fast behavior; loadTool: correctness verdict and guards

Cause: backend servers of the platform also fail fast, which nothing could provoke; a signal fault given in code accepted process groups; a broken plan ended with one problem at a time.

--- a/apps/standin-backend/src/main.ts
+++ b/apps/standin-backend/src/main.ts
@@ -2,7 +2,7 @@
 
 import {
   BackendStandin,
-  fleetSchema,
+  parseFleet,
   parseNumberOption,
   planFleet,
   runStandin,
@@ -48,7 +48,7 @@
 
   private async readInstances(): Promise<InstanceOptions[]> {
     if (this.instances) {
-      return fleetSchema.parse(JSON.parse(await readFile(this.instances, 'utf8')));
+      return parseFleet(await readFile(this.instances, 'utf8'));
     }
     if (!this.service) throw new UsageError('give --instances or --service');
     return planFleet({
--- a/packages/loadTool/src/faults.ts
+++ b/packages/loadTool/src/faults.ts
@@ -1,10 +1,12 @@
 import type { Clock } from '@bronzelift/common';
-import { assertNever, describeError } from '@bronzelift/common';
+import { StepError, assertNever, describeError } from '@bronzelift/common';
 
 import { postBehavior } from './standinClient.js';
 import type { FaultResult, ScheduledFault } from './types.js';
 import { sleepUntil } from './utils.js';
 
+const MIN_PID = 2;
+
 const describeFault = (fault: ScheduledFault): string => {
   switch (fault.kind) {
     case 'behavior':
@@ -24,6 +26,8 @@
       await postBehavior(fault.url, fault.behavior);
       break;
     case 'signal':
+      // 0 and negative ids address process groups, which would end processes of others.
+      if (fault.pid < MIN_PID) throw StepError.create('send signal', 'local', `pid ${fault.pid}`);
       process.kill(fault.pid, fault.signal);
       break;
     case 'callback':
--- a/packages/loadTool/src/index.ts
+++ b/packages/loadTool/src/index.ts
@@ -1,5 +1,6 @@
 export * from './comparison.js';
 export * from './constants.js';
+export { isCorrect } from './orderAudit.js';
 export * from './plan.js';
 export * from './plot.js';
 export * from './rateProfile.js';
--- a/packages/loadTool/src/orderAudit.ts
+++ b/packages/loadTool/src/orderAudit.ts
@@ -2,7 +2,13 @@
 
 import { MAX_FINDINGS, TICKET_SEPARATOR } from './constants.js';
 import type { KeyOutcome, Verdict } from './requestTrace.js';
-import type { BackendReports, MeasuringCost, OrderAudit, OrderFinding } from './types.js';
+import type {
+  BackendReports,
+  LoadResult,
+  MeasuringCost,
+  OrderAudit,
+  OrderFinding,
+} from './types.js';
 
 /** What the caller knows of one order. */
 export interface OrderRecord {
@@ -70,6 +76,11 @@
   };
 };
 
+/** Whether a run shows no broken promise: no doubled or lost order, no false not-run or answer. */
+export const isCorrect = ({ orderAudit, total }: LoadResult): boolean =>
+  orderAudit.doubled + orderAudit.lost + orderAudit.runAfterNotRun === 0 &&
+  total.lookups.wrongAnswers + total.orders.wrongAnswers === 0;
+
 /** Backend time spent on measuring, and cold overloads, over all reports. */
 export const sumMeasuringCost = (reports: BackendReports): MeasuringCost | undefined => {
   if (reports.length === 0) return undefined;
--- a/packages/loadTool/src/plan.ts
+++ b/packages/loadTool/src/plan.ts
@@ -1,6 +1,6 @@
 import { constants } from 'node:os';
 
-import { parseEndpoint } from '@bronzelift/common';
+import { StepError, parseEndpoint } from '@bronzelift/common';
 import type { Endpoint } from '@bronzelift/common';
 import { z } from 'zod';
 
@@ -67,5 +67,9 @@
   warmupMs: durationMs.optional(),
 });
 
-/** Reads a plan from JSON text; throws when it is invalid. */
-export const parseLoadPlan = (text: string): LoadOptions => loadPlanSchema.parse(JSON.parse(text));
+/** Reads a plan from JSON text; throws one error with all problems when it is invalid. */
+export const parseLoadPlan = (text: string): LoadOptions => {
+  const parsed = loadPlanSchema.safeParse(JSON.parse(text));
+  if (parsed.success) return parsed.data;
+  throw StepError.create('read load plan', 'local', z.prettifyError(parsed.error));
+};
--- a/packages/loadTool/tests/runLoad.test.ts
+++ b/packages/loadTool/tests/runLoad.test.ts
@@ -2,7 +2,7 @@
 import { BackendStandin, planFleet } from '@bronzelift/standins';
 import { expect } from 'chai';
 
-import { formatComparison, formatResult, renderPlot, runLoad } from '../src/index.js';
+import { formatComparison, formatResult, isCorrect, renderPlot, runLoad } from '../src/index.js';
 import type { LoadOptions, LoadResult } from '../src/index.js';
 import { FakeEntry } from './fakeEntry.js';
 import type { FakeMode } from './fakeEntry.js';
@@ -66,6 +66,7 @@
     expect(orders.addedTime.count).to.equal(orders.served);
     expect(orders.latency.p50Ms).to.be.at.least(3);
     expect(result.orderAudit).to.include({ audited: true, doubled: 0, lost: 0, runAfterNotRun: 0 });
+    expect(isCorrect(result)).to.equal(true);
     expect(formatResult(result)).to.include('orders doubled');
     expect(formatComparison(result, result)).to.include('s lookups latency p99');
     expect(renderPlot(result)).to.include('<polyline');
@@ -76,6 +77,7 @@
       isOrder(method) && nth % 5 === 0 ? 'forward-twice' : 'forward',
     );
     expect(result.orderAudit.doubled).to.be.above(0);
+    expect(isCorrect(result)).to.equal(false);
     expect(result.orderAudit.findings[0]?.finding).to.equal('doubled');
   });
 
--- a/packages/standins/src/backendInstance.ts
+++ b/packages/standins/src/backendInstance.ts
@@ -118,6 +118,9 @@
       case 'undrain':
         this.work.draining = false;
         break;
+      case 'fail-fast':
+        this.work.failingFast = behavior.active;
+        break;
       case 'response-fault':
         this.faults.add(behavior);
         break;
@@ -274,8 +277,9 @@
     code: RefusalCode,
   ): void {
     if (connection.silent) return;
-    const headers = { ...this.headersFor(requestId), [BackendHeader.notRun]: '1' };
-    sendJson(response, 503, { code }, headers);
+    const headers = this.headersFor(requestId);
+    if (code === 'failing') sendJson(response, 500, { code }, headers);
+    else sendJson(response, 503, { code }, { ...headers, [BackendHeader.notRun]: '1' });
   }
 
   private answer(
--- a/packages/standins/src/behaviors.ts
+++ b/packages/standins/src/behaviors.ts
@@ -99,6 +99,8 @@
   z.strictObject({ kind: z.literal('unfreeze'), target }),
   z.strictObject({ kind: z.literal('drain'), target }),
   z.strictObject({ kind: z.literal('undrain'), target }),
+  /** Answers 500 at once without running or saying so, until `active` is false. */
+  z.strictObject({ kind: z.literal('fail-fast'), target, active: z.boolean().default(true) }),
   /** Responses go wrong with a probability, at most `count` times. */
   z.strictObject({
     kind: z.literal('response-fault'),
--- a/packages/standins/src/fleet.ts
+++ b/packages/standins/src/fleet.ts
@@ -1,3 +1,4 @@
+import { StepError } from '@bronzelift/common';
 import { z } from 'zod';
 
 import type { InstanceOptions } from './types.js';
@@ -29,6 +30,13 @@
 /** Schema of the file given to the backend stand-in: a list of instances. */
 export const fleetSchema = z.array(instanceOptionsSchema).min(1);
 
+/** Reads instances from JSON text; throws one error with all problems when it is invalid. */
+export const parseFleet = (text: string): InstanceOptions[] => {
+  const parsed = fleetSchema.safeParse(JSON.parse(text));
+  if (parsed.success) return parsed.data;
+  throw StepError.create('read instances', 'local', z.prettifyError(parsed.error));
+};
+
 /** Instances of one service spread evenly over failure domains. */
 export interface FleetPlan extends Omit<
   InstanceOptions,
--- a/packages/standins/src/instanceWork.ts
+++ b/packages/standins/src/instanceWork.ts
@@ -12,7 +12,7 @@
 };
 
 /** Why a request was not run. */
-export type RefusalCode = 'overloaded' | 'deadline-passed' | 'draining';
+export type RefusalCode = 'overloaded' | 'deadline-passed' | 'draining' | 'failing';
 
 /** One request for work, with what is to be done as it proceeds. */
 export interface Job {
@@ -43,6 +43,7 @@
     shed: 0,
     refusedForDeadline: 0,
     refusedForDraining: 0,
+    failedFast: 0,
     probes: 0,
     probeMs: 0,
     connectionMs: 0,
@@ -59,6 +60,8 @@
 
   draining = false;
 
+  failingFast = false;
+
   private readonly cold: ColdStart;
 
   private readonly running = new Map<Job, Run>();
@@ -183,6 +186,11 @@
     const nowMs = this.clock.wallMs();
     this.lastArrivalAtMs = nowMs;
     this.registry.recordArrival(this.settings.failureDomainId, nowMs);
+    if (this.failingFast) {
+      this.counts.failedFast += 1;
+      job.refuse('failing');
+      return;
+    }
     if (this.draining) {
       this.counts.refusedForDraining += 1;
       job.refuse('draining');
--- a/packages/standins/src/types.ts
+++ b/packages/standins/src/types.ts
@@ -158,6 +158,7 @@
   readonly shed: number;
   readonly refusedForDeadline: number;
   readonly refusedForDraining: number;
+  readonly failedFast: number;
   readonly connectionsAccepted: number;
   readonly connectionsRefused: number;
   readonly probes: number;
--- a/packages/standins/tests/backendStandin.test.ts
+++ b/packages/standins/tests/backendStandin.test.ts
@@ -190,7 +190,7 @@
     expect(backend!.report().runs).to.have.keys('k1', 'k2', 'k3', 'k4', 'k5', 'k6');
   });
 
-  it('drains, misreports its load and slows down on request', async () => {
+  it('drains, misreports its load, fails fast and slows down on request', async () => {
     await begin();
     await apply({ kind: 'slow', factor: 5 });
     const slow = await order('k1');
@@ -200,6 +200,10 @@
     const probe = JSON.parse((await send(endpoint, '/load')).body) as Record<string, unknown>;
     expect(probe).to.include({ state: 'warm', inFlight: 3, slots: 4 });
     await apply({ kind: 'misreport' });
+    await apply({ kind: 'fail-fast' });
+    const failed = await order('k3');
+    expect([failed.status, failed.headers['x-not-run']]).to.deep.equal([500, undefined]);
+    await apply({ kind: 'fail-fast', active: false });
     await apply({ kind: 'drain' });
     const { headers } = await order('k2');
     expect(headers).to.include({ 'x-load-state': 'draining', 'x-not-run': '1' });
