--- a/packages/backendClient/src/backendPool.ts
+++ b/packages/backendClient/src/backendPool.ts
@@ -70,7 +70,7 @@
   /** Gives back a reserved connection that was not used. */
   release(connection: BackendConnection): void {
     const known = this.findReserved(connection);
-    if (known !== undefined) this.park(known);
+    if (known?.startSending()) this.park(known);
   }
 
   /** Sends a request on a reserved connection, which is given back or closed. Never rejects. */
@@ -80,6 +80,10 @@
     signal?: AbortSignal,
   ): Promise<BackendAttempt> {
     const known = this.findReserved(connection);
+    if (known !== undefined && !known.startSending()) {
+      const detail = `connection ${connection.id} to ${this.peer} carries another request`;
+      return { kind: 'not-sent', reason: 'connection-busy', detail, durationMs: 0 };
+    }
     if (known === undefined || !known.isOpen) {
       known?.close('in-doubt', 'not open when a request was to be sent');
       const detail = `connection ${connection.id} to ${this.peer} is closed`;
@@ -97,11 +101,12 @@
     return this.conclude(known, result, sentAtMs);
   }
 
-  /** Closes connections that were idle for longer than the idle timeout. */
+  /** Closes connections that were idle for longer than the idle timeout, all but `minIdle`. */
   sweep(): void {
-    const { idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS } = this.options;
+    const { idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS, minIdle = 0 } = this.options;
     const expiredBeforeMs = this.now() - idleTimeoutMs;
-    const expired = this.idle.filter(({ provenAtMs }) => provenAtMs < expiredBeforeMs);
+    const surplus = this.idle.slice(0, Math.max(this.idle.length - minIdle, 0));
+    const expired = surplus.filter(({ provenAtMs }) => provenAtMs < expiredBeforeMs);
     for (const connection of expired) connection.close('idle', 'idle timeout');
   }
 
--- a/packages/backendClient/src/poolConnection.ts
+++ b/packages/backendClient/src/poolConnection.ts
@@ -11,6 +11,8 @@
 
   private isReserved = true;
 
+  private isSending = false;
+
   private closing: { readonly reason: CloseReason; readonly detail: string } | undefined;
 
   private constructor(
@@ -73,6 +75,14 @@
   /** Reserves the connection or gives it back. */
   markBusy(isBusy: boolean): void {
     this.isReserved = isBusy;
+    this.isSending = false;
+  }
+
+  /** Takes the connection for a request; false when it carries one already. */
+  startSending(): boolean {
+    if (this.isSending) return false;
+    this.isSending = true;
+    return true;
   }
 
   /** Notes a complete response. */
--- a/packages/backendClient/src/types.ts
+++ b/packages/backendClient/src/types.ts
@@ -87,7 +87,12 @@
   /** Nothing was written: proof that the request did not run. */
   | {
       readonly kind: 'not-sent';
-      readonly reason: NoConnectionReason | 'connection-closed' | 'expired' | 'invalid-request';
+      readonly reason:
+        | NoConnectionReason
+        | 'connection-closed'
+        | 'connection-busy'
+        | 'expired'
+        | 'invalid-request';
       readonly detail: string;
       readonly durationMs: number;
     }
@@ -137,6 +142,11 @@
   readonly connectTimeoutMs?: number;
   /** Idle connections are closed by `sweep` after this time; default 60000. */
   readonly idleTimeoutMs?: number;
+  /**
+   * Idle connections that `sweep` keeps, default 0. A connection that has stayed open is needed to
+   * use the slots of a warm instance, so that a burst after a quiet time finds some.
+   */
+  readonly minIdle?: number;
   /** Larger responses are reported as too large; default 1 MiB. */
   readonly maxBodyBytes?: number;
   readonly onConnectionClosed?: (event: ConnectionClosed) => void;
--- a/packages/backendClient/tests/backendPool.test.ts
+++ b/packages/backendClient/tests/backendPool.test.ts
@@ -3,7 +3,8 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 
-import { SystemClock } from '@bronzelift/common';
+import { ManualClock, SystemClock } from '@bronzelift/common';
+import type { Clock } from '@bronzelift/common';
 
 import { BackendPool } from '../src/index.js';
 import type { BackendAttempt, BackendRequest, ConnectionNeed } from '../src/index.js';
@@ -23,13 +24,18 @@
   socket.write(formatAnswer(requestId, `body of ${requestId}`));
 };
 
-const createPool = (maxConnections = 8, maxBodyBytes = 1000): BackendPool =>
+const createPool = (
+  maxConnections = 8,
+  maxBodyBytes = 1000,
+  poolClock: Clock = clock,
+): BackendPool =>
   BackendPool.create({
     instanceId: 'i0',
     endpoint: { host: '127.0.0.1', port: server.port },
     maxConnections,
     maxBodyBytes,
-    clock,
+    minIdle: 1,
+    clock: poolClock,
     connectTimeoutMs: 500,
     onConnectionClosed: ({ reason }) => closed.push(reason),
     onViolation: (name, detail) => violations.push(`${name}: ${detail}`),
@@ -279,6 +285,31 @@
     expect(pool.stats()).to.deep.equal({ idle: 1, busy: 1, opening: 0 });
   });
 
+  it('never has two requests on one connection, whose responses could be confused', async () => {
+    const connection = await open();
+    const first = pool.send(createRequest(), connection);
+    const second = await pool.send(createRequest(), connection);
+    expect(second).to.include({ kind: 'not-sent', reason: 'connection-busy' });
+    pool.release(connection);
+    expect(pool.stats().busy).to.equal(1);
+    expect((await first).kind).to.equal('answered');
+    expect(server.requests).to.have.length(1);
+  });
+
+  it('keeps some connections through a quiet time, so that a burst finds warm ones', async () => {
+    const manual = ManualClock.create();
+    pool.destroy();
+    pool = createPool(8, 1000, manual);
+    const opened = [await open(), await open(), await open()];
+    for (const connection of opened) pool.release(connection);
+    manual.advance(59_000);
+    pool.sweep();
+    expect(pool.stats().idle).to.equal(3);
+    manual.advance(2000);
+    pool.sweep();
+    expect(pool.connections()).to.deep.equal([opened[2]]);
+  });
+
   it('reports a connect that fails without anything sent', async () => {
     await server.close();
     const result = await pool.acquire({});
