--- a/apps/ctl/src/cli.ts
+++ b/apps/ctl/src/cli.ts
@@ -7,6 +7,7 @@
 import { BringBackCommand } from './commands/bringBack.js';
 import { CheckCommand } from './commands/check.js';
 import { ShowCommand } from './commands/show.js';
+import { StartEmptyCommand } from './commands/startEmpty.js';
 import { StatusCommand } from './commands/status.js';
 import { TakeOutCommand } from './commands/takeOut.js';
 import { WaitForCommand } from './commands/waitFor.js';
@@ -22,6 +23,7 @@
     StatusCommand,
     TakeOutCommand,
     BringBackCommand,
+    StartEmptyCommand,
     WaitForCommand,
   ].forEach((command) => cli.register(command));
   return cli;
--- /dev/null
+++ b/apps/ctl/src/commands/startEmpty.ts
@@ -0,0 +1,39 @@
+import { Command } from 'clipanion';
+
+import { ExitCode } from '../constants.js';
+import { LogCommand } from './logCommand.js';
+
+/** `start-empty`. */
+export class StartEmptyCommand extends LogCommand {
+  static override paths = [['start-empty']];
+
+  static override usage = Command.Usage({
+    description: 'Start again with nothing in force on a log whose state is lost',
+    details:
+      'For a log whose beginning has expired and that holds no snapshot, when no entry daemon ' +
+      'that knew the state is left. Refused when the log has a state.',
+  });
+
+  async execute(): Promise<ExitCode> {
+    return this.withLog(async ({ client, session, output }) => {
+      const state = await session.readState();
+      if (state.ok) {
+        const version = state.val.configurationVersion;
+        output.fail(`the log has a state, with configuration version ${version}; nothing was sent`);
+        return ExitCode.rejected;
+      }
+      const payload = session.createEmptyBase();
+      if (payload === undefined) {
+        output.fail(`nothing was sent: ${state.val}`);
+        return ExitCode.rejected;
+      }
+      const appended = await client.append(payload);
+      if (appended.ok) {
+        output.print('the log starts again with nothing in force; apply with --based-on 0');
+        return ExitCode.accepted;
+      }
+      output.fail(`${appended.val.error.message}; repeat the command`);
+      return appended.val.kind === 'refused' ? ExitCode.rejected : ExitCode.unknown;
+    });
+  }
+}
--- a/apps/ctl/src/commands/status.ts
+++ b/apps/ctl/src/commands/status.ts
@@ -2,7 +2,7 @@
 
 import { ExitCode } from '../constants.js';
 import { formatTable } from '../output.js';
-import { createStatusTable, fetchStatuses } from '../statusReport.js';
+import { createStatusTable, describeUnreachable, fetchStatuses } from '../statusReport.js';
 import { AdminCommand } from './adminCommand.js';
 
 /** `status <address…>`. */
@@ -21,6 +21,7 @@
     if (endpoints === undefined) return ExitCode.usage;
     const rows = await fetchStatuses(endpoints);
     formatTable(createStatusTable(rows)).forEach((line) => output.print(line));
+    describeUnreachable(rows).forEach((line) => output.warn(line));
     return rows.every((row) => row.report.ok) ? ExitCode.accepted : ExitCode.rejected;
   }
 }
--- a/apps/ctl/src/commands/waitFor.ts
+++ b/apps/ctl/src/commands/waitFor.ts
@@ -5,7 +5,7 @@
 
 import { ExitCode, WAIT_POLL_MS, WAIT_TIMEOUT_MS } from '../constants.js';
 import { formatTable } from '../output.js';
-import { createStatusTable, fetchStatuses } from '../statusReport.js';
+import { createStatusTable, describeUnreachable, fetchStatuses } from '../statusReport.js';
 import type { StatusRow } from '../statusReport.js';
 import { parseCount } from '../utils.js';
 import { AdminCommand } from './adminCommand.js';
@@ -46,6 +46,7 @@
       return ExitCode.accepted;
     }
     formatTable(createStatusTable(missing)).forEach((line) => output.print(line));
+    describeUnreachable(missing).forEach((line) => output.warn(line));
     output.fail(`version ${version} is not in force at ${missing.length} of ${rows.length}`);
     return ExitCode.rejected;
   }
--- a/apps/ctl/src/logSession.ts
+++ b/apps/ctl/src/logSession.ts
@@ -66,6 +66,11 @@
     return Err(`the end of the log was not reached within ${READ_TIMEOUT_MS} ms`);
   }
 
+  /** Record that gives a log without a base an empty state, after `readState` found none. */
+  createEmptyBase(): string | undefined {
+    return this.follower.createEmptyBase();
+  }
+
   /**
    * Reads on until a record matches, and returns what it did. Undefined when none came in
    * time: it may still follow.
--- a/apps/ctl/src/output.ts
+++ b/apps/ctl/src/output.ts
@@ -13,13 +13,10 @@
 
 /** Creates the output on two streams. */
 export const createOutput = (stdout: Writable, stderr: Writable): Output => {
-  const console = createConsola({
+  const results = createConsola({
     level: INFO_LEVEL,
-    fancy: false,
-    stdout: stdout as NodeJS.WriteStream,
-    // Warnings would go to standard output otherwise, between the results.
-    stderr: stderr as NodeJS.WriteStream,
-    formatOptions: { date: false, colors: false },
+    // Results are read by scripts, so they get no prefix.
+    reporters: [{ log: ({ args }) => stdout.write(`${args.join(' ')}\n`) }],
   });
   const errors = createConsola({
     level: INFO_LEVEL,
@@ -29,7 +26,7 @@
     formatOptions: { date: false, colors: false },
   });
   return {
-    print: (line) => console.log(line),
+    print: (line) => results.log(line),
     warn: (line) => errors.warn(line),
     fail: (line) => errors.error(line),
   };
--- a/apps/ctl/src/statusReport.ts
+++ b/apps/ctl/src/statusReport.ts
@@ -85,7 +85,7 @@
 
 const createRow = ({ endpoint, report }: StatusRow): string[] => {
   const address = formatEndpoint(endpoint);
-  if (report.err) return [address, `unreachable: ${report.val}`];
+  if (report.err) return [address, '-', '-', 'unreachable'];
   const status = report.val;
   return [
     address,
@@ -103,6 +103,12 @@
   ];
 };
 
+/** A line for each entry daemon without a report, with the reason. */
+export const describeUnreachable = (rows: readonly StatusRow[]): string[] =>
+  rows.flatMap(({ endpoint, report }) =>
+    report.err ? [`${formatEndpoint(endpoint)} is unreachable: ${report.val}`] : [],
+  );
+
 /** Table of where which version is in force. */
 export const createStatusTable = (rows: readonly StatusRow[]): string[][] => [
   HEADING,
--- a/apps/ctl/tests/ctl.test.ts
+++ b/apps/ctl/tests/ctl.test.ts
@@ -108,6 +108,15 @@
     expect(await run(log, 'take-out', 'vm:a', '--force')).to.include({ code: 0 });
   });
 
+  it('starts again on a log whose state is lost, and only there', async () => {
+    log.log.append('{}');
+    log.log.cutTo(1);
+    expect((await run(log, 'apply', file, '--based-on', '0')).errors).to.contain('no snapshot');
+    expect((await run(log, 'start-empty')).code).to.equal(0);
+    expect((await run(log, 'apply', file, '--based-on', '0')).out).to.contain('version 1');
+    expect((await run(log, 'start-empty')).code).to.equal(1);
+  });
+
   it('uses code 2 for a wrong command line', async () => {
     expect((await run(log, 'frobnicate')).code).to.equal(2);
     expect((await run(undefined, 'show')).code).to.equal(2);
@@ -139,6 +148,7 @@
     const shown = await run(undefined, 'status', address, '127.0.0.1:1');
     expect(shown.out).to.match(/vm1 +nyeri +serving +4 +1\.5s +0 +2 +held +0\.0s +3\/8 +1\.3/);
     expect(shown.out).to.contain('unreachable');
+    expect(shown.errors).to.contain('127.0.0.1:1 is unreachable: connect ECONNREFUSED');
     expect(shown.code).to.equal(1);
     expect((await run(undefined, 'wait-for', '4', address)).code).to.equal(0);
     const missed = await run(undefined, 'wait-for', '5', address, '--timeout-ms', '300');
--- a/packages/controlLog/src/logFollower.ts
+++ b/packages/controlLog/src/logFollower.ts
@@ -135,6 +135,15 @@
     return this.createBase();
   }
 
+  /**
+   * Snapshot of the empty state at the end of a log without a base, for an operator who
+   * knows that nobody holds the state any more. Undefined when there is a base.
+   */
+  createEmptyBase(): string | undefined {
+    if (this.logId === '' || this.phase.kind === 'folding') return undefined;
+    return createSnapshot({ ...INITIAL_STATE, logId: this.logId, nextOffset: this.position });
+  }
+
   /**
    * Snapshot that lets readers start when the kept records hold no base. A state that holds
    * records beyond the last page is not used: they would be folded twice.
