Decode INI values one by one and bound the keys of a section

Cause: parsing 18,000 instances took 0.66 to 0.85 s, mostly in the parser of the ini library and in a map for each section. Change: only the library's value decoder is called, and a section may have 100 keys, so that the search for duplicates stays short without a map. Ruled out: a search without a bound, which a hostile section makes quadratic.

--- a/packages/settings/src/constants.ts
+++ b/packages/settings/src/constants.ts
@@ -3,6 +3,9 @@
 /** Largest number of mistakes listed for one file; the rest is counted. */
 export const MAX_REPORTED_PROBLEMS = 100;
 
+/** Largest number of keys in a section; no section has that many. */
+export const MAX_SECTION_KEYS = 100;
+
 /** Longest piece of a file that is repeated in a message. */
 export const MAX_QUOTED_LENGTH = 60;
 
--- a/packages/settings/src/iniDocument.ts
+++ b/packages/settings/src/iniDocument.ts
@@ -1,6 +1,6 @@
 import ini from 'ini';
 
-import { MAX_REPORTED_PROBLEMS } from './constants.js';
+import { MAX_REPORTED_PROBLEMS, MAX_SECTION_KEYS } from './constants.js';
 import type { IniDocument, IniEntry, IniProblem, IniSection } from './types.js';
 import { quote } from './utils.js';
 
@@ -12,6 +12,7 @@
 const CONTROL_CHARACTERS = /[\u0000-\u0008\u000B\u000C\u000E-\u001F\u007F\u0085\u2028\u2029]/;
 
 const describeBadValue = (value: string): string | undefined => {
+  if (!/["'\\;#]/.test(value)) return undefined;
   if (/["'\\]/.test(value)) return 'a value without quotes and backslashes';
   if (/\S[;#]/.test(value.replace(/\s[;#].*$/, ''))) {
     return 'a value without ; and # (a comment after a value needs a space before it)';
@@ -19,18 +20,10 @@
   return undefined;
 };
 
-/**
- * The library decodes the values in one call, each under its line number, so that no line
- * affects another.
- */
-const decodeValues = (rawValues: readonly string[]): Readonly<Record<string, unknown>> =>
-  ini.parse(rawValues.join('\n'));
-
 interface OpenSection {
   readonly name: string;
   readonly line: number;
   readonly entries: IniEntry[];
-  readonly linesByKey: Map<string, number>;
 }
 
 class IniScanner {
@@ -38,10 +31,10 @@
 
   private readonly problems: IniProblem[] = [];
 
-  private readonly rawValues: string[] = [];
-
   private current: OpenSection | undefined;
 
+  private hasControlCharacters = false;
+
   private constructor(private readonly file: string) {}
 
   static create(file: string): IniScanner {
@@ -50,17 +43,16 @@
 
   scan(text: string): IniDocument {
     const lines = text.replace(/^\uFEFF/, '').split(/\r\n|\n|\r/);
+    this.hasControlCharacters = CONTROL_CHARACTERS.test(text);
     for (let index = 0; index < lines.length; index += 1) {
       this.readLine(lines[index]!, index + 1);
       if (this.problems.length > MAX_REPORTED_PROBLEMS) break;
     }
-    const sections = [...this.sections.values()];
-    this.decodeEntries(sections);
-    return { file: this.file, sections, problems: this.problems };
+    return { file: this.file, sections: [...this.sections.values()], problems: this.problems };
   }
 
   private readLine(text: string, line: number): void {
-    if (CONTROL_CHARACTERS.test(text)) {
+    if (this.hasControlCharacters && CONTROL_CHARACTERS.test(text)) {
       this.addProblem(line, 'line', 'text without control characters');
       return;
     }
@@ -73,7 +65,7 @@
   private readSectionLine(rawName: string, line: number): void {
     const name = rawName.trim().replace(/[ \t]+/g, ' ');
     // Keys below a bad header go to a section of their own that is not returned.
-    this.current = { name, line, entries: [], linesByKey: new Map() };
+    this.current = { name, line, entries: [] };
     if (!SECTION_NAME.test(name)) {
       const expected =
         'a section name of one or two words of letters, digits, dots, hyphens and underscores';
@@ -106,30 +98,20 @@
 
   private readEntry(section: OpenSection, key: string, rawValue: string, line: number): void {
     const path = `[${section.name}] ${key}`;
-    const earlierLine = section.linesByKey.get(key);
-    if (earlierLine !== undefined) {
-      this.addProblem(line, path, `a key once; it is already on line ${earlierLine}`);
+    const earlier = section.entries.find((entry) => entry.key === key);
+    if (earlier !== undefined) {
+      this.addProblem(line, path, `a key once; it is already on line ${earlier.line}`);
+      return;
+    }
+    if (section.entries.length >= MAX_SECTION_KEYS) {
+      this.addProblem(line, path, `at most ${MAX_SECTION_KEYS} keys in a section`);
       return;
     }
-    section.linesByKey.set(key, line);
     const mistake = describeBadValue(rawValue);
-    if (mistake === undefined) this.rawValues.push(`${line}=${rawValue}`);
-    else this.addProblem(line, path, mistake, rawValue);
-    section.entries.push({ key, value: rawValue, line });
-  }
-
-  private decodeEntries(sections: readonly OpenSection[]): void {
-    const decoded = decodeValues(this.rawValues);
-    sections.forEach((section) => {
-      section.entries.forEach((entry) => {
-        const value = decoded[entry.line];
-        // Absent after a bad value, which is reported already.
-        if (value === undefined) return;
-        Object.assign(entry, { value: String(value) });
-        if (value !== '') return;
-        this.addProblem(entry.line, `[${section.name}] ${entry.key}`, 'a value after `=`');
-      });
-    });
+    const value = mistake === undefined ? ini.unsafe(rawValue) : rawValue;
+    if (mistake !== undefined) this.addProblem(line, path, mistake, rawValue);
+    else if (value === '') this.addProblem(line, path, 'a value after `=`');
+    section.entries.push({ key, value, line });
   }
 
   private addProblem(line: number, key: string, expected: string, found?: string): void {
@@ -146,9 +128,9 @@
 /**
  * Reads INI text into sections with line numbers.
  *
- * The `ini` library merges repeated sections, nests names with dots, skips `__proto__`
- * and cuts values at `;`, all without a word. Lines that could be read in two ways are
- * therefore reported here, and the library decodes only the values of plain lines.
+ * The parser of the `ini` library merges repeated sections, nests names with dots, skips
+ * `__proto__` and cuts values at `;`, all without a word, and gives no line numbers. Lines
+ * that it could read in two ways are reported here, and only its value decoder is used.
  */
 export const readIniDocument = (text: string, file: string): IniDocument =>
   IniScanner.create(file).scan(text);
--- a/packages/settings/tests/settings.test.ts
+++ b/packages/settings/tests/settings.test.ts
@@ -105,6 +105,13 @@
     });
   });
 
+  it('stops early at a section with very many keys, which would take quadratic time', () => {
+    const keys = Array.from({ length: 300_000 }, (_, index) => `k${index} = 1`);
+    const { problems } = readIniDocument(['[a]', ...keys].join('\n'), 'f');
+    expect(problems[0]!.expected).to.equal('at most 100 keys in a section');
+    expect(problems).to.have.length(101);
+  });
+
   it('keeps names with dots whole and reads true as text, so that no value changes its meaning', () => {
     const document = readIniDocument('[instance 10.0.0.1]\r\nx = true\r\ny=null # c', 'f');
     expect(document.problems).to.deep.equal([]);
