--- a/packages/controlLog/src/state.ts
+++ b/packages/controlLog/src/state.ts
@@ -92,10 +92,13 @@
   return restored.ok ? Ok({ ...stored, ...restored.val }) : restored;
 };
 
-/** Decodes the state that a peer sent as JSON. */
-export const decodeState = (json: unknown): Result<ControlState, string> => {
+/** Decodes the state that a peer sent as JSON; a text that `known` has is not parsed again. */
+export const decodeState = (
+  json: unknown,
+  known: ControlState = INITIAL_STATE,
+): Result<ControlState, string> => {
   const stored = decodeStoredState(json);
-  return stored.ok ? restoreState(stored.val) : stored;
+  return stored.ok ? restoreState(stored.val, known) : stored;
 };
 
 /** Snapshot record of a state that is the fold of its log up to `nextOffset`. */
--- a/packages/controlLog/tests/follower.test.ts
+++ b/packages/controlLog/tests/follower.test.ts
@@ -105,6 +105,32 @@
   });
 });
 
+describe('LogFollower and a log service that contradicts itself', () => {
+  it('reports a hole or a missing record instead of folding past it', () => {
+    const log = new ModelLog('one');
+    ['first', 'second', 'third'].forEach((id, version) => appendApply(log, id, version));
+    const { follower } = new ModelReader();
+    const whole = log.read(0, 10);
+    expect(follower.acceptPage({ ...whole, records: [] })).to.equal('malformed');
+    const hole = whole.records.filter((record) => record.offset !== 1);
+    expect(follower.acceptPage({ ...whole, records: hole })).to.equal('malformed');
+    expect(follower.state.configurationVersion).to.equal(0);
+    expect(follower.acceptPage(log.read(follower.nextRead.from, 10))).to.equal('behind');
+    expect(follower.acceptPage(whole)).to.equal('caught-up');
+    expect(follower.state.configurationVersion).to.equal(3);
+  });
+
+  it('asks for fewer records when responses are large, so that memory stays bounded', () => {
+    const { follower } = new ModelReader();
+    const first = follower.nextRead.limit;
+    const page = { ...new ModelLog('one').read(0, 1), sizeBytes: 9 * 1024 * 1024 };
+    for (let round = 0; round < 20; round += 1) follower.acceptPage(page);
+    expect(follower.nextRead.limit).to.equal(1);
+    follower.acceptPage({ ...page, sizeBytes: 10 });
+    expect(follower.nextRead.limit).to.equal(2).and.to.be.lessThan(first);
+  });
+});
+
 describe('LogFollower on a log that loses records', () => {
   const steps = fc.array(stepArbitrary, { maxLength: 25, size: 'max' });
 
