--- a/apps/demo/src/demoReport.ts
+++ b/apps/demo/src/demoReport.ts
@@ -14,6 +14,13 @@
   ];
 };
 
+/** Answers that belonged to another request or were cut short. */
+export const countWrongAnswers = ({ total }: LoadResult): number =>
+  [total.lookups, total.orders].reduce(
+    (sum, kind) => sum + kind.wrongAnswers + kind.incompleteAnswers,
+    0,
+  );
+
 /** Short report on one deployment. */
 export const formatDemoReport = (result: LoadResult, violations: number): string => {
   const { total, orderAudit, measuringCost } = result;
@@ -27,13 +34,6 @@
   ].join('\n');
 };
 
-/** Answers that belonged to another request or were cut short. */
-export const countWrongAnswers = ({ total }: LoadResult): number =>
-  [total.lookups, total.orders].reduce(
-    (sum, kind) => sum + kind.wrongAnswers + kind.incompleteAnswers,
-    0,
-  );
-
 /** Whether nothing was doubled, lost or answered wrongly, and orders were really served. */
 export const isCorrect = (result: LoadResult, violations: number): boolean =>
   result.orderAudit.audited &&
