Predict the wait of lookups with the orders that will overtake them

Cause: in a trial with a burst (8000/s for 1 s at six instances of four slots in one process, one instance slow, deadline 200 ms), 1216 requests were admitted to the queue and then reached their deadline there; they should have been refused at once. The prediction counted only orders that were queued already, and one slow response of 60 ms doubled the mean service time. Change: the predicted wait of a lookup grows with the share of the recent starts that were orders; the mean weighs the latest response by 0.05 instead of 0.1; a slot that others wait for is not given to a request that would end too late.

--- a/packages/admission/src/admissionQueue.ts
+++ b/packages/admission/src/admissionQueue.ts
@@ -7,6 +7,8 @@
   DEFAULT_SERVICE_TIME_MS,
   DISPLACEMENT_CHECKS_PER_ORDER,
   MIN_EXPIRY_INTERVAL_MS,
+  ORDER_SHARE_WEIGHT,
+  SERVICE_TIME_WEIGHT,
 } from './constants.js';
 import { createLanes } from './createLanes.js';
 import { decideAdmission, isLookupHopeless, predictWait } from './decideAdmission.js';
@@ -35,6 +37,8 @@
 
   private meanServiceTimeMs: number;
 
+  private orderShare = 0;
+
   private usableSlots = 0;
 
   private lastUsableSlots = 0;
@@ -164,18 +168,27 @@
     resolve: (result: AdmissionResult<T>) => void,
   ): Promise<void> {
     const startedAtMs = this.owner.now();
-    if (startedAtMs >= entry.deadlineAtMs) {
+    if (this.isTooLate(entry, startedAtMs)) {
       entry.refuse('deadline-exceeded', 0);
       return;
     }
     entry.start();
+    this.orderShare = updateMean(this.orderShare, Number(entry.isOrder), ORDER_SHARE_WEIGHT);
     const waitedMs = startedAtMs - entry.arrivedAtMs;
     try {
       resolve({ kind: 'completed', value: await task(), waitedMs });
     } catch (error) {
       resolve({ kind: 'failed', error, waitedMs });
     }
-    this.meanServiceTimeMs = updateMean(this.meanServiceTimeMs, this.owner.now() - startedAtMs);
+    const serviceTimeMs = this.owner.now() - startedAtMs;
+    this.meanServiceTimeMs = updateMean(this.meanServiceTimeMs, serviceTimeMs, SERVICE_TIME_WEIGHT);
+  }
+
+  /** A slot that others wait for is not used for a request that will probably end too late. */
+  private isTooLate(entry: AdmissionEntry, nowMs: number): boolean {
+    const isContended = this.waiting.orderCount + this.waiting.lookupCount > 1;
+    const leastMs = isContended ? this.meanServiceTimeMs : 0;
+    return nowMs + leastMs >= entry.deadlineAtMs;
   }
 
   /**
@@ -236,6 +249,7 @@
       queuedOrders: this.waiting.orderCount,
       queuedLookups: this.waiting.lookupCount,
       meanServiceTimeMs: this.meanServiceTimeMs,
+      orderShare: this.orderShare,
       maxQueued: this.waiting.maxQueued,
     };
   }
--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -1,8 +1,14 @@
 /** Service time assumed until the first responses were measured. */
 export const DEFAULT_SERVICE_TIME_MS = 10;
 
-/** Weight of the latest service time in the mean; follows a change within about 20 responses. */
-export const SERVICE_TIME_WEIGHT = 0.1;
+/**
+ * Weight of the latest service time in the mean, which follows a change within about 40 responses.
+ * With a larger weight, one response of a slow instance refuses requests that the others can serve.
+ */
+export const SERVICE_TIME_WEIGHT = 0.05;
+
+/** Weight of the latest start in the share of starts that are orders. */
+export const ORDER_SHARE_WEIGHT = 0.02;
 
 /** Requests that may wait; bounds memory, the deadline bounds the wait. */
 export const DEFAULT_MAX_QUEUED = 2000;
--- a/packages/admission/src/decideAdmission.ts
+++ b/packages/admission/src/decideAdmission.ts
@@ -9,14 +9,16 @@
 
 /** Wait predicted for a request that arrives now, in milliseconds; Infinity without slots. */
 export const predictWait = (view: AdmissionView, isOrder: boolean): number => {
-  const countAhead = isOrder ? countAheadOfOrder : countAheadOfLookup;
-  const ahead = countAhead(view.queuedOrders, view.queuedLookups);
+  const { queuedOrders, queuedLookups, orderShare } = view;
+  const ahead = isOrder
+    ? countAheadOfOrder(queuedOrders, queuedLookups)
+    : countAheadOfLookup(queuedOrders, queuedLookups, orderShare);
   return predictWaitMs(ahead, view.meanServiceTimeMs, selectSlots(view));
 };
 
 /** Whether the lookup that joined last can no longer end before its deadline. */
 export const isLookupHopeless = (view: AdmissionView, deadlineAtMs: number): boolean => {
-  const ahead = countAheadOfLookup(view.queuedOrders, view.queuedLookups - 1);
+  const ahead = countAheadOfLookup(view.queuedOrders, view.queuedLookups - 1, view.orderShare);
   const waitMs = predictWaitMs(ahead, view.meanServiceTimeMs, selectSlots(view));
   return view.nowMs + waitMs + view.meanServiceTimeMs > deadlineAtMs;
 };
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -44,6 +44,8 @@
   readonly queuedOrders: number;
   readonly queuedLookups: number;
   readonly meanServiceTimeMs: number;
+  /** Share of the recent starts that were orders, from 0 to 1. */
+  readonly orderShare: number;
   readonly maxQueued: number;
 }
 
--- a/packages/admission/src/utils.ts
+++ b/packages/admission/src/utils.ts
@@ -5,7 +5,6 @@
   MIN_RETRY_AFTER_MS,
   ORDERS_PER_LOOKUP,
   RETRY_AFTER_WITHOUT_SLOTS_MS,
-  SERVICE_TIME_WEIGHT,
 } from './constants.js';
 import type { ScheduleTimer } from './types.js';
 
@@ -17,16 +16,27 @@
 };
 
 /** Exponentially weighted mean with one more sample. */
-export const updateMean = (mean: number, sample: number): number =>
-  mean + SERVICE_TIME_WEIGHT * (sample - mean);
+export const updateMean = (mean: number, sample: number, weight: number): number =>
+  mean + weight * (sample - mean);
 
 /** Starts before an order that joins behind `queuedOrders`: these and the lookups' share. */
 export const countAheadOfOrder = (queuedOrders: number, queuedLookups: number): number =>
   queuedOrders + Math.min(queuedLookups, Math.ceil(queuedOrders / ORDERS_PER_LOOKUP));
 
-/** Starts before a lookup that joins behind `queuedLookups`. */
-export const countAheadOfLookup = (queuedOrders: number, queuedLookups: number): number =>
-  queuedLookups + Math.min(queuedOrders, (queuedLookups + 1) * ORDERS_PER_LOOKUP);
+/**
+ * Starts before a lookup that joins behind `queuedLookups`: these, the queued orders, and the orders
+ * that are going to arrive and overtake it, as many as their share of the recent starts.
+ */
+export const countAheadOfLookup = (
+  queuedOrders: number,
+  queuedLookups: number,
+  orderShare: number,
+): number => {
+  const leastShare = 1 / (ORDERS_PER_LOOKUP + 1);
+  const lookupShare = Math.max(1 - orderShare, leastShare);
+  const atMost = (queuedLookups + 1) / leastShare - 1;
+  return Math.min(queuedOrders + (queuedLookups + 1) / lookupShare - 1, atMost);
+};
 
 /** Wait until a slot is free for a request with `ahead` starts before it; Infinity without slots. */
 export const predictWaitMs = (ahead: number, meanServiceTimeMs: number, slots: number): number =>
--- a/packages/admission/tests/decideAdmission.test.ts
+++ b/packages/admission/tests/decideAdmission.test.ts
@@ -17,6 +17,7 @@
   queuedOrders: 0,
   queuedLookups: 0,
   meanServiceTimeMs: 10,
+  orderShare: 0,
   maxQueued: 100,
   ...change,
 });
@@ -28,6 +29,7 @@
       queuedOrders: fc.nat(100),
       queuedLookups: fc.nat(100),
       meanServiceTimeMs: fc.integer({ min: 1, max: 200 }),
+      orderShare: fc.double({ min: 0, max: 1, noNaN: true }),
     });
     const property = fc.property(
       view,
@@ -49,6 +51,15 @@
     fc.assert(property, seedOption);
   });
 
+  it('refuses a lookup at once when the orders that keep arriving will overtake it', () => {
+    const request = { isOrder: false, deadlineAtMs: 100 };
+    const queued = { queuedLookups: 30, queuedOrders: 0 };
+    expect(decideAdmission(createView(queued), request).kind).to.equal('wait');
+    const flooded = createView({ ...queued, orderShare: 0.5 });
+    expect(decideAdmission(flooded, request)).to.include({ kind: 'refuse', code: 'overloaded' });
+    expect(decideAdmission(flooded, { ...request, isOrder: true }).kind).to.equal('wait');
+  });
+
   it('does not queue a request that must start now', () => {
     const request = { isOrder: false, deadlineAtMs: 1000, isImmediate: true };
     const busy = decideAdmission(createView({}), request);
