Close a reserved connection on data without a request

Cause: found in review. Bytes that arrived between the reservation of a connection and its request were dropped without notice, and the connection was used; a connection that had closed could have stayed among the idle ones. Change: any data while no request is in flight closes the connection; only open connections are parked. Result: 57 tests pass; the extended test fails without the change.

--- a/packages/backendClient/src/backendPool.ts
+++ b/packages/backendClient/src/backendPool.ts
@@ -214,9 +214,9 @@
   private park(connection: PoolConnection): void {
     this.busy.delete(connection);
     connection.markBusy(false);
-    this.idle.push(connection);
-    if (!connection.isOpen) connection.close('ended-by-backend', 'ended while in use');
-    else if (this.isClosed) connection.close('pool-closed', 'pool closed');
+    if (this.isClosed) connection.close('pool-closed', 'pool closed');
+    else if (connection.isOpen) this.idle.push(connection);
+    else connection.close('ended-by-backend', 'ended while in use');
   }
 
   private forget(connection: PoolConnection, reason: CloseReason, detail: string): void {
--- a/packages/backendClient/src/poolConnection.ts
+++ b/packages/backendClient/src/poolConnection.ts
@@ -31,11 +31,11 @@
       errorText = describeError(error);
     });
     socket.on('data', () => {
-      if (!this.isBusy) this.close('in-doubt', 'data without a request');
+      if (!this.isSending) this.close('in-doubt', 'data without a request');
     });
     socket.on('end', () => {
       // While a request is in flight, its own handlers decide first.
-      if (!this.isBusy) this.close('ended-by-backend', 'ended by the backend server');
+      if (!this.isSending) this.close('ended-by-backend', 'ended by the backend server');
     });
     socket.once('close', () => {
       const reason = errorText === undefined ? 'ended-by-backend' : 'reset';
--- a/packages/backendClient/tests/backendPool.test.ts
+++ b/packages/backendClient/tests/backendPool.test.ts
@@ -169,12 +169,17 @@
     expect(server.requests[1]!.connection).to.equal(1);
   });
 
-  it('closes idle connections that say something without a request', async () => {
+  it('closes connections that say something without a request, idle or reserved', async () => {
     await send();
     server.sockets[0]!.write(formatAnswer('stray', 'stray'));
-    await until(() => closed.length > 0);
-    expect(closed).to.deep.equal(['in-doubt']);
+    await until(() => closed.length === 1);
     expect(pool.stats().idle).to.equal(0);
+    const reserved = await open();
+    await until(() => server.sockets.length === 2);
+    server.sockets[1]!.write(formatAnswer('stray', 'stray'));
+    await until(() => closed.length === 2);
+    expect(closed).to.deep.equal(['in-doubt', 'in-doubt']);
+    expect((await pool.send(createRequest(), reserved)).kind).to.equal('not-sent');
   });
 
   it('closes idle connections of a silent peer, but not those that answered since', async () => {
