--- a/packages/controlLog/tests/logModel.ts
+++ b/packages/controlLog/tests/logModel.ts
@@ -79,7 +79,8 @@
   | { readonly kind: 'join' | 'leave' | 'evict'; readonly vm: number; readonly start: number }
   | { readonly kind: 'garbage' }
   | { readonly kind: 'read'; readonly reader: number; readonly pages: number }
-  | { readonly kind: 'snapshot'; readonly reader: number }
+  /** An author that has read to the end, or one that may be behind. */
+  | { readonly kind: 'snapshot'; readonly reader: number; readonly stale: boolean }
   | { readonly kind: 'replace'; readonly reader: number }
   | { readonly kind: 'cut'; readonly percent: number };
 
@@ -102,8 +103,8 @@
   }),
   fc.constant({ kind: 'garbage' } as const),
   fc.record({ kind: fc.constant('read' as const), reader, pages: fc.integer({ min: 1, max: 12 }) }),
-  fc.record({ kind: fc.constant('snapshot' as const), reader }),
-  fc.record({ kind: fc.constant('snapshot' as const), reader }),
+  fc.record({ kind: fc.constant('snapshot' as const), reader, stale: fc.boolean() }),
+  fc.record({ kind: fc.constant('snapshot' as const), reader, stale: fc.boolean() }),
   fc.record({ kind: fc.constant('replace' as const), reader }),
   fc.record({
     kind: fc.constant('cut' as const),
@@ -158,6 +159,7 @@
       return;
     case 'snapshot': {
       const { follower } = readers[step.reader]!;
+      if (!step.stale) readers[step.reader]!.pump(log, log.payloads.length + 10, 2);
       // A reader without a base publishes one only after a delay; tested on its own.
       if (follower.foldedState !== undefined) log.append(follower.createSnapshot());
       return;
