--- a/packages/membership/tests/heartbeatNode.ts
+++ b/packages/membership/tests/heartbeatNode.ts
@@ -1,6 +1,6 @@
 import { createServer as createHttp2Server } from 'node:http2';
 import type { Http2Server } from 'node:http2';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 
 import { SystemClock, formatMember, systemRandom } from '@bronzelift/common';
 import { MemberStatusSchema, Phase } from '@bronzelift/protocol';
@@ -30,10 +30,15 @@
 
   member!: RosterMember;
 
+  /** Accepted connections, to count their bytes and to close them at the end. */
+  readonly sockets: Socket[] = [];
+
   private constructor(
     readonly server: Http2Server,
     private readonly services: number,
-  ) {}
+  ) {
+    server.on('connection', (socket: Socket) => this.sockets.push(socket));
+  }
 
   /** Starts a node; it lists as many services and observations in its status as told. */
   static async start(
@@ -71,6 +76,7 @@
   async stop(): Promise<void> {
     await this.heartbeats.stop();
     this.server.close();
+    this.sockets.forEach((socket) => socket.destroy());
   }
 
   private createService(): HeartbeatService {
--- a/packages/membership/tests/heartbeatService.test.ts
+++ b/packages/membership/tests/heartbeatService.test.ts
@@ -72,7 +72,7 @@
     const accepted: Socket[] = [];
     const proxy = createServer((inner) => {
       const outer = connect(two.member.peerEndpoint.port, '127.0.0.1');
-      accepted.push(inner);
+      accepted.push(inner, outer);
       inner.pipe(outer).pipe(inner);
       [inner, outer].forEach((socket) => socket.on('error', () => undefined));
     }).listen(0, '127.0.0.1');
