Serve heartbeats over HTTP/1.1 in the membership tests

Cause: the daemon serves control messages and plain requests of peers on one HTTP/1.1 port, the test node still used HTTP/2.

--- a/packages/localDeployment/src/localProcess.ts
+++ b/packages/localDeployment/src/localProcess.ts
@@ -5,6 +5,12 @@
 
 const REPOSITORY = fileURLToPath(new URL('../../../', import.meta.url));
 
+/** Options for Node from BRONZELIFT_NODE_OPTIONS, for example to profile the processes. */
+const readNodeOptions = (): string[] => [
+  '--enable-source-maps',
+  ...(process.env.BRONZELIFT_NODE_OPTIONS ?? '').split(' ').filter((option) => option !== ''),
+];
+
 /** A binary of this repository that runs as a child process; its output goes to a file. */
 export class LocalProcess {
   /** Resolves with the exit code, or the signal that ended the process. */
@@ -37,7 +43,7 @@
     outputPath: string,
   ): LocalProcess {
     const script = `${REPOSITORY}apps/${app}/bin/${binary}.js`;
-    const child = spawn(process.execPath, ['--enable-source-maps', script, ...args], {
+    const child = spawn(process.execPath, [...readNodeOptions(), script, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     return new LocalProcess(binary, child, outputPath);
--- a/packages/membership/src/heartbeatService.ts
+++ b/packages/membership/src/heartbeatService.ts
@@ -63,7 +63,7 @@
     return new HeartbeatService(options);
   }
 
-  /** Routes of PeerService, for connectNodeAdapter on an HTTP/2 server. */
+  /** Routes of PeerService, for connectNodeAdapter on an HTTP/1.1 server. */
   readonly routes = (router: ConnectRouter): void => {
     router.service(PeerService, {
       heartbeat: (request) => this.answer(request),
--- a/packages/membership/tests/heartbeatNode.ts
+++ b/packages/membership/tests/heartbeatNode.ts
@@ -1,5 +1,5 @@
-import { createServer as createHttp2Server } from 'node:http2';
-import type { Http2Server } from 'node:http2';
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 
 import { SystemClock, formatMember, systemRandom } from '@bronzelift/common';
@@ -34,7 +34,7 @@
   readonly sockets: Socket[] = [];
 
   private constructor(
-    readonly server: Http2Server,
+    readonly server: Server,
     private readonly services: number,
   ) {
     server.on('connection', (socket: Socket) => this.sockets.push(socket));
@@ -50,7 +50,7 @@
     let node: HeartbeatNode | undefined;
     const routes = (router: Parameters<HeartbeatService['routes']>[0]): void =>
       node!.heartbeats.routes(router);
-    const server = createHttp2Server();
+    const server = createServer();
     await new Promise<void>((resolve) => {
       server.listen(port, HOST, resolve);
     });
