Send heartbeats as datagrams

Change: UDP with the same protobuf messages on the peer port's number, requests carry counters only, loads and observations travel in responses; a missing response leads to a TCP connect, so that a refused connection still proves a process gone. The log's own word that a member left or is gone counts as proof as well, and a VM that is heard is not gone because the list lacks it.

--- a/packages/entryDaemon/src/controlPlane.ts
+++ b/packages/entryDaemon/src/controlPlane.ts
@@ -1,7 +1,13 @@
-import type { Clock, RandomSource } from '@bronzelift/common';
+import type { Clock, MemberId, RandomSource } from '@bronzelift/common';
 import { isSameMember, sleep } from '@bronzelift/common';
 import type { ControlState, LogRecord } from '@bronzelift/control-log';
-import { LogClient, LogReader, encodeRecord, findMember } from '@bronzelift/control-log';
+import {
+  LogClient,
+  LogReader,
+  decodeRecord,
+  encodeRecord,
+  findMember,
+} from '@bronzelift/control-log';
 import type { Eviction, RosterMember } from '@bronzelift/membership';
 import { InvariantName, LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Invariants } from '@bronzelift/observability';
@@ -20,6 +26,8 @@
   readonly clientId: string;
   /** A newer state is in force; the epochs are those folded since the last call, in order. */
   readonly onState: (state: ControlState, epochs: readonly EpochState[]) => void;
+  /** The log says that a member left, or that its process is gone. */
+  readonly onRecordedGone: (member: MemberId) => void;
 }
 
 /** Reads the control log and appends this member's records. */
@@ -43,7 +51,8 @@
       retentionMs: settings.log.retentionMs,
       onState: (state) => this.takeState(state),
       onViolation: (_, detail) => invariants.report(InvariantName.configurationOrder, detail),
-      onRecord: (_, result) => {
+      onRecord: (record, result) => {
+        if (result.kind === 'applied') this.noteDeparture(record.payload);
         const { epoch, members, configuration } = result.state;
         const last = this.folded.at(-1)?.epoch ?? 0;
         if (epoch > last) this.folded.push({ epoch, members, configuration });
@@ -117,6 +126,17 @@
     });
   }
 
+  /** Eviction for silence proves nothing: the member may still act until its lease expires. */
+  private noteDeparture(payload: unknown): void {
+    const decoded = decodeRecord(payload);
+    if (decoded.err) return;
+    const record = decoded.val;
+    const isGone =
+      record.kind === 'member-left' ||
+      (record.kind === 'member-evicted' && record.reason !== 'silent');
+    if (isGone) this.options.onRecordedGone(record);
+  }
+
   private takeState(state: ControlState): void {
     const epochs = this.folded.filter(({ epoch }) => epoch < state.epoch);
     this.folded = [];
--- a/packages/entryDaemon/src/entryDaemon.ts
+++ b/packages/entryDaemon/src/entryDaemon.ts
@@ -13,7 +13,14 @@
 } from '@bronzelift/common';
 import type { ControlState } from '@bronzelift/control-log';
 import { decodeState, encodeState, findMember, isTakenOut } from '@bronzelift/control-log';
-import { AddressBook, KEEP_FOR_MS, VmListReader, formatTicket } from '@bronzelift/membership';
+import {
+  AddressBook,
+  HeartbeatSocket,
+  KEEP_FOR_MS,
+  SILENT_MS,
+  VmListReader,
+  formatTicket,
+} from '@bronzelift/membership';
 import type { RosterMember } from '@bronzelift/membership';
 import { DecisionLog, Invariants, LogComponent, Metrics } from '@bronzelift/observability';
 import { InstanceObservationSchema, Phase, ServiceLoadSchema } from '@bronzelift/protocol';
@@ -102,6 +109,10 @@
 
   private session: MemberSession;
 
+  private readonly heartbeatSocket = HeartbeatSocket.create((request) =>
+    this.session.heartbeats.answer(request),
+  );
+
   private vmList: VmListReader | undefined;
 
   private peerServer: Server | undefined;
@@ -159,6 +170,7 @@
       settings,
       clientId: settings.entry.vmId,
       onState: (state, epochs) => this.adoptState(state, epochs),
+      onRecordedGone: (member) => this.session.noteGone(member, 'recorded'),
     });
     this.forwarder = PeerForwarder.create(clock, () => this.session.self);
     const findService = (name: string) => this.slots.findService(name);
@@ -230,6 +242,7 @@
       metricsJson: () => this.metrics.snapshot(),
     });
     await listen(this.peerServer, settings.peer, 'open peer port');
+    await this.heartbeatSocket.bind(settings.peer);
     await listen(this.adminServer, settings.admin, 'open admin port');
     await listen(this.callers.server, settings.caller, 'open caller port');
     this.control.start();
@@ -276,6 +289,7 @@
     this.slots.close();
     this.forwarder.close();
     this.orders.close();
+    this.heartbeatSocket.close();
     for (const server of [this.callers.server, this.peerServer, this.adminServer]) {
       server?.close();
       server?.closeAllConnections();
@@ -370,6 +384,7 @@
           this.slots.findService(load.service)?.peers.report(vmId, load.freeSlots);
         }
       },
+      exchange: (endpoint, request) => this.heartbeatSocket.exchange(endpoint, request),
       fallback: (message, response) => {
         this.handlePeerRequest(message, response).catch((error: unknown) => {
           this.log.error(LogComponent.daemon, 'peer request failed', {
@@ -550,7 +565,9 @@
 
   private noteVmGone(vmId: string): void {
     const member = findMember(this.control.state, vmId);
-    if (member) this.session.noteGone(member, 'vm-gone');
+    // A VM that was created again under its name can be heard while the list lacks it.
+    const isHeard = member && this.session.silentMs(member) < SILENT_MS;
+    if (member && !isHeard) this.session.noteGone(member, 'vm-gone');
   }
 
   private candidates() {
--- a/packages/entryDaemon/src/memberSession.ts
+++ b/packages/entryDaemon/src/memberSession.ts
@@ -13,6 +13,7 @@
   AddressCandidate,
   Eviction,
   GoneReason,
+  HeartbeatExchange,
   RosterMember,
   StatusSource,
 } from '@bronzelift/membership';
@@ -42,6 +43,8 @@
     sentAtMs: number | undefined,
   ) => void;
   readonly onLoads: (vmId: VmId, loads: readonly ServiceLoad[]) => void;
+  /** Sends a heartbeat and waits for its response. */
+  readonly exchange: HeartbeatExchange;
   /** Handles requests on the peer port that are no control messages. */
   readonly fallback: RequestListener;
 }
@@ -72,7 +75,8 @@
       clock,
       random,
       self,
-      status: () => this.ownStatus(),
+      status: (isComplete) => this.ownStatus(isComplete),
+      exchange: options.exchange,
       counters: () => ({
         epoch: options.controlState().epoch,
         configurationVersion: options.controlState().configurationVersion,
@@ -163,7 +167,7 @@
     await this.heartbeats.stop();
   }
 
-  private ownStatus(): MemberStatus {
+  private ownStatus(isComplete: boolean): MemberStatus {
     const { options } = this;
     const state = options.controlState();
     return create(MemberStatusSchema, {
@@ -177,8 +181,8 @@
       drainRevision: BigInt(state.drainRevision),
       logOffset: BigInt(state.nextOffset),
       logAgeMs: Math.min(Math.trunc(options.logAgeMs()), 0xffffffff),
-      services: options.serviceLoads(),
-      observations: options.observations(),
+      services: isComplete ? options.serviceLoads() : [],
+      observations: isComplete ? options.observations() : [],
     });
   }
 
--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -17,8 +17,8 @@
 export const URGENT_INTERVAL_MS = 50;
 
 /**
- * Time limit of a heartbeat. It is below a third of the lease, so that a connection that goes silent
- * is replaced and the lease renewed on a new one before it expires.
+ * Time limit of a heartbeat. It is below a third of the lease, so that several lost datagrams do not
+ * end the lease.
  */
 export const HEARTBEAT_TIMEOUT_MS = 750;
 
@@ -78,3 +78,6 @@
  * records within this time, and a state can be megabytes long.
  */
 export const FETCH_STATE_DELAY_MS = 300;
+
+/** Larger datagrams are dropped unread. */
+export const MAX_DATAGRAM_BYTES = 32_768;
--- a/packages/membership/src/heartbeatService.ts
+++ b/packages/membership/src/heartbeatService.ts
@@ -3,9 +3,9 @@
 import { Phase, PeerService, HeartbeatResponseSchema } from '@bronzelift/protocol';
 import type { HeartbeatRequest, HeartbeatResponse, MemberStatus } from '@bronzelift/protocol';
 import { create } from '@bufbuild/protobuf';
-import { Code, ConnectError } from '@connectrpc/connect';
 import type { ConnectRouter } from '@connectrpc/connect';
 
+import type { HeartbeatExchange } from './heartbeatSocket.js';
 import { PeerLink } from './peerLink.js';
 import type { GoneReason, KnownCounters, PeerReport, RosterMember } from './types.js';
 import { isAtMost, memberKey } from './utils.js';
@@ -23,8 +23,10 @@
   readonly random: RandomSource;
   /** This start of the entry daemon. It listens at its peer endpoint before it joins the roster. */
   readonly self: RosterMember;
-  /** Status of this member, made anew for each message. */
-  readonly status: () => MemberStatus;
+  /** Status of this member; loads and observations are left out of requests. */
+  readonly status: (isComplete: boolean) => MemberStatus;
+  /** Sends a heartbeat and waits for its response. */
+  readonly exchange: HeartbeatExchange;
   /** Counters of the control state that this member has adopted. */
   readonly counters: () => KnownCounters;
   /** Whether to grant the lease to a sender with this epoch. */
@@ -66,7 +68,6 @@
   /** Routes of PeerService, for connectNodeAdapter on an HTTP/1.1 server. */
   readonly routes = (router: ConnectRouter): void => {
     router.service(PeerService, {
-      heartbeat: (request) => this.answer(request),
       fetchState: () => ({ stateJson: this.options.stateJson() }),
     });
   };
@@ -97,6 +98,17 @@
     await Promise.all([...this.links.values()].map(async (link) => link.sendAndWait(signal)));
   }
 
+  /** Answers a heartbeat of a peer; undefined when it is malformed. */
+  answer({ sender, targetIncarnation }: HeartbeatRequest): HeartbeatResponse | undefined {
+    if (!sender) return undefined;
+    const { self, shouldGrant, status, onGone } = this.options;
+    this.receive(sender, { kind: 'request' });
+    if (sender.phase === Phase.STOPPED && !isSameMember(sender, self)) onGone(sender, 'stopped');
+    const isForThisStart = targetIncarnation === self.incarnation;
+    const leaseGranted = isForThisStart && shouldGrant(Number(sender.epoch));
+    return create(HeartbeatResponseSchema, { receiver: status(true), leaseGranted });
+  }
+
   /** Stops all links. */
   async stop(): Promise<void> {
     this.isStopped = true;
@@ -106,12 +118,13 @@
   }
 
   private startLink(member: RosterMember): PeerLink {
-    const { clock, random, status, onPeerAhead, onGone, onError } = this.options;
+    const { clock, random, status, exchange, onPeerAhead, onGone, onError } = this.options;
     return PeerLink.start({
       clock,
       random,
       member,
-      status,
+      status: () => status(false),
+      exchange,
       onResponse: (peerStatus, sentAtMs, isLeaseGranted) =>
         this.receive(peerStatus, { kind: 'response', sentAtMs, isLeaseGranted }),
       isAhead: (peerStatus) => !isAtMost(toPeerReport(peerStatus), this.options.counters()),
@@ -121,16 +134,6 @@
     });
   }
 
-  private answer({ sender, targetIncarnation }: HeartbeatRequest): HeartbeatResponse {
-    if (!sender) throw new ConnectError('heartbeat without a sender', Code.InvalidArgument);
-    const { self, shouldGrant, status, onGone } = this.options;
-    this.receive(sender, { kind: 'request' });
-    if (sender.phase === Phase.STOPPED && !isSameMember(sender, self)) onGone(sender, 'stopped');
-    const isForThisStart = targetIncarnation === self.incarnation;
-    const leaseGranted = isForThisStart && shouldGrant(Number(sender.epoch));
-    return create(HeartbeatResponseSchema, { receiver: status(), leaseGranted });
-  }
-
   private receive(status: MemberStatus, source: StatusSource): void {
     this.options.onPeerStatus(status, source);
     if (!isAtMost(this.options.counters(), toPeerReport(status))) this.options.onPeerBehind(status);
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -2,6 +2,7 @@
 export * from './constants.js';
 export * from './evictionPolicy.js';
 export * from './heartbeatService.js';
+export * from './heartbeatSocket.js';
 export * from './memberLease.js';
 export * from './types.js';
 export * from './utils.js';
--- a/packages/membership/src/peerLink.ts
+++ b/packages/membership/src/peerLink.ts
@@ -1,7 +1,8 @@
 import { StepError, describeError, formatEndpoint, sleep } from '@bronzelift/common';
 import type { Clock, RandomSource } from '@bronzelift/common';
-import { Phase } from '@bronzelift/protocol';
+import { HeartbeatRequestSchema, Phase } from '@bronzelift/protocol';
 import type { HeartbeatResponse, MemberStatus } from '@bronzelift/protocol';
+import { create } from '@bufbuild/protobuf';
 
 import {
   FETCH_STATE_DELAY_MS,
@@ -11,8 +12,8 @@
   REFUSAL_CONFIRM_MS,
   URGENT_INTERVAL_MS,
 } from './constants.js';
-import { createPeerClient, isConnectionRefused, isRefusal } from './peerClient.js';
-import type { PeerClient } from './peerClient.js';
+import type { HeartbeatExchange } from './heartbeatSocket.js';
+import { createPeerClient, isConnectionRefused } from './peerClient.js';
 import type { GoneReason, RosterMember } from './types.js';
 
 /** Part of the interval by which heartbeats vary, so that those to many peers spread out. */
@@ -23,8 +24,9 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly member: RosterMember;
-  /** Status of this member, made anew for each heartbeat. */
+  /** Counters of this member, made anew for each heartbeat. */
   readonly status: () => MemberStatus;
+  readonly exchange: HeartbeatExchange;
   readonly onResponse: (status: MemberStatus, sentAtMs: number, isLeaseGranted: boolean) => void;
   readonly isAhead: (status: MemberStatus) => boolean;
   readonly onState: (member: RosterMember, stateJson: string) => void;
@@ -48,16 +50,13 @@
 
   private readonly finished: Promise<void>;
 
-  private constructor(
-    private readonly options: PeerLinkOptions,
-    private peer: PeerClient,
-  ) {
+  private constructor(private readonly options: PeerLinkOptions) {
     this.finished = this.run();
   }
 
   /** Starts sending. */
   static start(options: PeerLinkOptions): PeerLink {
-    return new PeerLink(options, createPeerClient(options.member.peerEndpoint));
+    return new PeerLink(options);
   }
 
   /** Sends the next heartbeat as soon as the minimum interval has passed. */
@@ -80,7 +79,6 @@
   async stop(): Promise<void> {
     this.stopping.abort();
     this.waiting.abort();
-    this.peer.close();
     await this.finished;
   }
 
@@ -110,11 +108,13 @@
 
   private async exchange(): Promise<void> {
     const { member, status } = this.options;
-    const request = { sender: status(), targetIncarnation: member.incarnation };
+    const request = create(HeartbeatRequestSchema, {
+      sender: status(),
+      targetIncarnation: member.incarnation,
+    });
     const { sentAtMs } = this;
     try {
-      const call = { timeoutMs: HEARTBEAT_TIMEOUT_MS, signal: this.stopping.signal };
-      const response = await this.peer.client.heartbeat(request, call);
+      const response = await this.options.exchange(member.peerEndpoint, request);
       this.receive(response, sentAtMs);
       await this.fetchStateWhenAhead();
     } catch (error) {
@@ -140,22 +140,22 @@
     const { clock, member, onState } = this.options;
     if (this.aheadSinceMs === undefined) return;
     if (clock.monotonicMs() - this.aheadSinceMs < FETCH_STATE_DELAY_MS) return;
+    const peer = createPeerClient(member.peerEndpoint);
     const call = { timeoutMs: FETCH_STATE_TIMEOUT_MS, signal: this.stopping.signal };
-    const { stateJson } = await this.peer.client.fetchState({}, call);
+    const { stateJson } = await peer.client.fetchState({}, call).finally(peer.close);
     this.aheadSinceMs = undefined;
     onState(member, stateJson);
   }
 
-  /** Replaces the connection, which may have gone silent, and finds out whether the peer is gone. */
+  /** Finds out whether a peer that gave no response is gone; silence alone proves nothing. */
   private async recover(error: unknown): Promise<void> {
     const { signal } = this.stopping;
     if (signal.aborted) return;
     const { member, onError, onGone } = this.options;
-    this.peer.close();
-    this.peer = createPeerClient(member.peerEndpoint);
     const peerName = formatEndpoint(member.peerEndpoint);
     onError(member, StepError.create('send heartbeat', peerName, describeError(error), error));
-    if (!isRefusal(error) || !(await sleep(REFUSAL_CONFIRM_MS, signal))) return;
+    if (!(await isConnectionRefused(member.peerEndpoint, HEARTBEAT_TIMEOUT_MS))) return;
+    if (!(await sleep(REFUSAL_CONFIRM_MS, signal))) return;
     const isRefused = await isConnectionRefused(member.peerEndpoint, HEARTBEAT_TIMEOUT_MS);
     if (isRefused && !signal.aborted) onGone(member, 'refused');
   }
--- a/packages/membership/tests/heartbeatBench.ts
+++ b/packages/membership/tests/heartbeatBench.ts
@@ -16,7 +16,7 @@
   HeartbeatNode.start(`vm${index}`, 'a', port + index, SERVICES);
 
 const sumBytes = (node: HeartbeatNode): number =>
-  node.sockets.reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, 0);
+  node.socket.traffic.sentBytes + node.socket.traffic.receivedBytes;
 
 const peerAt = (node: HeartbeatNode, index: number, port: number): HeartbeatNode['member'] => ({
   ...node.member,
@@ -59,13 +59,13 @@
     const cpuMicros = cpu.user + cpu.system;
     const sent = node.responses - before.responses;
     const bytes = sumBytes(node) - before.bytes;
-    const bytesPerS = (bytes * 2 * MICROS_PER_MS) / MEASURE_MS;
+    const bytesPerS = (bytes * MICROS_PER_MS) / MEASURE_MS;
     this.context.stdout.write(
       `sent and answered: ${sent} in ${MEASURE_MS} ms, about as many received\n` +
         `CPU: ${(cpuMicros / (MEASURE_MS * MICROS_PER_MS * 0.01)).toFixed(2)}% of a core, ` +
         `${(cpuMicros / sent).toFixed(0)} us for one sent and one received\n` +
-        `bytes: ${(bytes / sent).toFixed(0)} for one heartbeat with its response, ` +
-        `${(bytesPerS / 1000).toFixed(1)} KB/s for both directions, without TCP/IP headers\n` +
+        `bytes: ${(bytes / sent).toFixed(0)} for one heartbeat sent and one answered, ` +
+        `${(bytesPerS / 1000).toFixed(1)} KB/s for both directions, without UDP and IP headers\n` +
         `memory: ${(process.memoryUsage().rss / 1e6).toFixed(0)} MB\n`,
     );
     await node.stop();
--- a/packages/membership/tests/heartbeatNode.ts
+++ b/packages/membership/tests/heartbeatNode.ts
@@ -8,7 +8,7 @@
 import { create } from '@bufbuild/protobuf';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
-import { HeartbeatService } from '../src/index.js';
+import { HeartbeatService, HeartbeatSocket } from '../src/index.js';
 import type { RosterMember } from '../src/index.js';
 
 const HOST = '127.0.0.1';
@@ -22,6 +22,8 @@
   /** Events in the order in which they arrived, such as `gone vm2@b stopped`. */
   readonly events: string[] = [];
 
+  readonly socket = HeartbeatSocket.create((request) => this.heartbeats.answer(request));
+
   responses = 0;
 
   granted = 0;
@@ -64,6 +66,7 @@
       peerEndpoint: endpoint,
     };
     node.heartbeats = node.createService();
+    await node.socket.bind(endpoint);
     server.on('request', connectNodeAdapter({ routes }));
     return node;
   }
@@ -75,6 +78,7 @@
 
   async stop(): Promise<void> {
     await this.heartbeats.stop();
+    this.socket.close();
     this.server.close();
     this.sockets.forEach((socket) => socket.destroy());
   }
@@ -84,7 +88,8 @@
       clock: SystemClock.create(),
       random: systemRandom,
       self: this.member,
-      status: () => this.status(),
+      status: (isComplete) => this.status(isComplete),
+      exchange: (endpoint, request) => this.socket.exchange(endpoint, request),
       counters: () => ({ epoch: this.epoch, configurationVersion: 0, drainRevision: 0 }),
       shouldGrant: (senderEpoch) => senderEpoch >= this.epoch,
       stateJson: () => `state of ${this.member.vmId} at ${this.epoch}`,
@@ -99,9 +104,9 @@
     });
   }
 
-  private status(): MemberStatus {
+  private status(isComplete: boolean): MemberStatus {
     const { vmId, incarnation, failureDomainId } = this.member;
-    const indexes = Array.from({ length: this.services }, (_, index) => index);
+    const indexes = Array.from({ length: isComplete ? this.services : 0 }, (_, index) => index);
     return create(MemberStatusSchema, {
       vmId,
       incarnation,
