Add the heartbeat service and the tests of membership

Cause: members have to hear each other for lease, settlement and freshness. Ruled out: a fetch of the state as soon as a peer is ahead (the log normally delivers it first, so it waits 300 ms); an abort signal for each call (stop() closes the connection). Change: HeartbeatService with one link for each peer, tests of all decisions, a benchmark. A property test found that the address book preferred a witness in the home's own domain to one in a domain taken out; the design wants another domain, fixed.

--- a/packages/membership/src/addressBook.ts
+++ b/packages/membership/src/addressBook.ts
@@ -106,8 +106,8 @@
 
   /**
    * Chooses a witness for a home: a serving member heard recently, in another failure domain if there
-   * is one. Members of a domain taken out can be witnesses, but are chosen last, since their VMs are
-   * likely to stop. `excluded` are members known to be unreachable for the home.
+   * is one. Among equals, members of a domain taken out are chosen last, since their VMs are likely to
+   * stop. `excluded` are members known to be unreachable for the home.
    */
   chooseWitness(
     home: MemberId & { readonly failureDomainId: FailureDomainId },
@@ -121,8 +121,8 @@
     );
     const penaltyOf = ({ member, isTakenOut, silentMs }: AddressCandidate): number =>
       (silentMs >= RECENTLY_HEARD_MS ? 4 : 0) +
-      (isTakenOut ? 2 : 0) +
-      (member.failureDomainId === home.failureDomainId ? 1 : 0);
+      (member.failureDomainId === home.failureDomainId ? 2 : 0) +
+      (isTakenOut ? 1 : 0);
     const [best] = possible.sort((left, right) => penaltyOf(left) - penaltyOf(right));
     return best?.member;
   }
--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -72,3 +72,9 @@
 
 /** Former members remembered, to answer whether one of them is gone. */
 export const MAX_FORMER_MEMBERS = 1024;
+
+/**
+ * Time for which a peer stays ahead before its state is fetched. Normally the log delivers the same
+ * records within this time, and a state can be megabytes long.
+ */
+export const FETCH_STATE_DELAY_MS = 300;
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,6 +1,7 @@
 export * from './addressBook.js';
 export * from './constants.js';
 export * from './evictionPolicy.js';
+export * from './heartbeatService.js';
 export * from './memberLease.js';
 export * from './types.js';
 export * from './utils.js';
