Accept a lower allowance from the owner whatever its order

Cause: the time of an owner's observation is estimated from the transit, so that a report of a lower allowance on the same observation could be ignored. Ruled out: a tolerance, which would also let older raises through. Change: lower reports always count; the VM list reader says what to check for a VM that was created again. Conclusion: a fall reaches the other members with one heartbeat.

--- a/packages/membership/src/vmListReader.ts
+++ b/packages/membership/src/vmListReader.ts
@@ -61,7 +61,10 @@
   readonly expectedVmIds: () => readonly VmId[];
   readonly onList: (list: VmList) => void;
   readonly onLeaving: (vmId: VmId) => void;
-  /** Called for a VM that no longer exists. */
+  /**
+   * Called for a VM that no longer exists. The list lags, so that a VM created again under the same
+   * name can already run: do not take a member that was heard within the last 3 seconds as gone.
+   */
   readonly onGone: (vmId: VmId) => void;
   /** Called for each failed read; the reader keeps its knowledge and goes on. */
   readonly onError: (error: StepError) => void;
--- a/packages/slots/src/instanceAllowance.ts
+++ b/packages/slots/src/instanceAllowance.ts
@@ -146,13 +146,19 @@
     return { isRaised: this.allowance > formerAllowance };
   }
 
-  /** Takes what the owner reported in the response to a heartbeat; ignored by the owner itself. */
+  /**
+   * Takes what the owner reported in the response to a heartbeat; ignored by the owner itself. A
+   * lower allowance counts whatever its order, since its estimated time varies with the transit.
+   */
   recordOwnerReport(report: OwnerReport): void {
     if (this.isOwner) return;
-    if (report.observedAtMs <= this.resetAtMs || report.observedAtMs < this.observedAtMs) return;
+    const isLower = report.allowance < this.allowance;
+    const isNewer =
+      report.observedAtMs > this.resetAtMs && report.observedAtMs >= this.observedAtMs;
+    if (!isLower && !isNewer) return;
     this.allowance = Math.min(this.settings.slots, Math.max(this.coldAllowance, report.allowance));
-    this.observedAtMs = report.observedAtMs;
     this.suspended = undefined;
+    if (isNewer) this.observedAtMs = report.observedAtMs;
   }
 
   /**
--- a/packages/slots/tests/instanceAllowance.test.ts
+++ b/packages/slots/tests/instanceAllowance.test.ts
@@ -69,6 +69,9 @@
     expect(allowance.usableSlots([3], 1)).to.deep.equal([]);
     allowance.recordOwnerReport({ allowance: 4, observedAtMs: 1000 });
     expect(allowance.usableSlots([3], 1)).to.deep.equal([3]);
+    allowance.recordOwnerReport({ allowance: 2, observedAtMs: 995 });
+    expect(allowance.usableSlots([1, 3], 1)).to.deep.equal([1]);
+    allowance.recordOwnerReport({ allowance: 4, observedAtMs: 1001 });
     allowance.setOwner(true);
     expect(allowance.allowed).to.equal(4);
     const other = InstanceAllowance.create(clock, SETTINGS);
