Answer unknown whenever a copy of the order may still be passed on

A home that was frozen held a copy of an order, resumed after its eviction and passed the copy to the witness, which had already refused the same order for another entry VM; the order ran after a call was told not run. It now covers every answer after a forward without response. Late copies are also dropped instead of starting an attempt that can only be refused.

--- a/packages/orders/src/orderExecutor.ts
+++ b/packages/orders/src/orderExecutor.ts
@@ -48,6 +48,8 @@
   /** Starts the order, joins its attempt in flight or gives its stored answer. */
   async execute(key: OrderKey, request: OrderRequest): Promise<AttemptResult> {
     if (this.isDiscarded()) return unknown(OrderCode.evicted);
+    // Nobody waits for a late copy; its refusal would only delay the caller's next attempt.
+    if (this.isTooLate(request)) return unknown(OrderCode.deadline);
     const requestHash = hashRequest(request);
     const begin = this.generation.registry.begin(key, requestHash);
     switch (begin.kind) {
--- a/packages/orders/src/orderForwarder.ts
+++ b/packages/orders/src/orderForwarder.ts
@@ -25,7 +25,7 @@
   runTakenOver(key: OrderKey, request: OrderRequest): Promise<OrderAnswer>;
 }
 
-/** An earlier copy of the order that got no response may still arrive until the deadline. */
+/** A copy of the order that got no response may still arrive, or be passed on, and run. */
 const toCertainAnswer = (answer: OrderAnswer, evidence: Evidence): OrderAnswer =>
   answer.outcome === 'not-run' && evidence.wasReached ? unknown(answer.code) : answer;
 
@@ -48,10 +48,10 @@
       const answer = this.isHomeGone(key, evidence)
         ? await this.tryWitness(key, request, evidence)
         : await this.tryHome(key, request, evidence);
-      if (answer !== undefined) return answer;
+      if (answer !== undefined) return toCertainAnswer(answer, evidence);
       await sleep(POLL_INTERVAL_MS);
     }
-    return this.answerAtDeadline(key, request, evidence);
+    return toCertainAnswer(await this.answerAtDeadline(key, request, evidence), evidence);
   }
 
   private isHomeGone(key: OrderKey, evidence: Evidence): boolean {
@@ -69,7 +69,7 @@
     const result = await this.forwardUnlessGone('home', home, request);
     switch (result.kind) {
       case 'answered':
-        return toCertainAnswer(result.answer, evidence);
+        return result.answer;
       case 'wrong-incarnation':
         evidence.noteHomeGone();
         return undefined;
@@ -138,7 +138,7 @@
     const result = await this.forwardUnlessGone('witness', witness, request);
     switch (result.kind) {
       case 'answered':
-        return toCertainAnswer(result.answer, evidence);
+        return result.answer;
       case 'wrong-incarnation':
         return unknownFinal(OrderCode.partnersGone);
       case 'not-reached':
--- a/packages/orders/tests/orderModel.ts
+++ b/packages/orders/tests/orderModel.ts
@@ -207,7 +207,7 @@
     // In any order, so that the member may act before it learns what it has missed.
     process.held
       .splice(0)
-      .forEach((action) => this.schedule(randomInteger(this.random, 0, 400), process, action));
+      .forEach((action) => this.schedule(randomInteger(this.random, 0, 1000), process, action));
   }
 
   private schedule(delayMs: number, owner: Process | undefined, action: () => unknown): void {
