Hold the slot of a given-up request on an instance that is not warm

Cause: a slot was free as soon as a request was given up (timeout, cancelled hedge). The backend server still worked on it until it saw the end of the connection, and the next request on another connection overtook that: two requests at a cold instance that bears one. Ruled out: two holders of slot 0 (only one entry daemon sent to the instances concerned) and an allowance from before the restart (all sends on slot 0). Change: the slot stays taken for 250 ms after this side closed the connection, unless the instance is warm and would queue the next request. Not covered: a backend server that needs longer than 250 ms to see the close.

--- a/packages/entryDaemon/src/constants.ts
+++ b/packages/entryDaemon/src/constants.ts
@@ -62,6 +62,13 @@
 /** Without a better one, orders take a connection proven within this time. */
 export const USABLE_UNPROVEN_MS = 10_000;
 
+/**
+ * A slot of an instance that is not warm stays taken for this long after its request was given up.
+ * The backend server works on the request until it has seen the end of the connection; the next
+ * request, on another connection, may overtake that.
+ */
+export const GIVEN_UP_HOLD_MS = 250;
+
 /** Work sent to a target that has been known to be out for longer violates an invariant. */
 export const OUT_GRACE_MS = 3_000;
 
--- a/packages/entryDaemon/src/instanceRuntime.ts
+++ b/packages/entryDaemon/src/instanceRuntime.ts
@@ -7,6 +7,7 @@
   ReportedLoad,
 } from '@bronzelift/backend-client';
 import type { Clock } from '@bronzelift/common';
+import { assertNever } from '@bronzelift/common';
 import type { InstanceConfiguration, ServiceConfiguration } from '@bronzelift/configuration';
 import type { Invariants } from '@bronzelift/observability';
 import { InvariantName } from '@bronzelift/observability';
@@ -14,6 +15,7 @@
 
 import {
   CONNECTION_COST_MS,
+  GIVEN_UP_HOLD_MS,
   OUT_GRACE_MS,
   PROBE_COST_MS,
   PROBE_INTERVAL_MS,
@@ -40,9 +42,27 @@
   readonly slot: number;
   /** Undefined: a new connection has to be opened. */
   connection: BackendConnection | undefined;
+  /** The backend server may still work on the request although it was given up. */
+  mayStillRun: boolean;
   readonly release: () => void;
 }
 
+/** Whether this side closed the connection before the backend server had finished. */
+const isGivenUp = (attempt: BackendAttempt): boolean => {
+  switch (attempt.kind) {
+    case 'failed-after-send':
+      return attempt.reason !== 'reset' && attempt.reason !== 'cut-short';
+    case 'too-large':
+      return true;
+    case 'answered':
+    case 'refused':
+    case 'not-sent':
+      return false;
+    default:
+      return assertNever(attempt);
+  }
+};
+
 /** One instance as this entry VM uses it: held slots, connections, allowance and probes. */
 export class InstanceRuntime {
   readonly allowance: InstanceAllowance;
@@ -192,6 +212,10 @@
     const connection = use.connection!;
     const attempt = await this.pool.send(request, connection, signal);
     this.learn(connection, attempt, attempt.durationMs);
+    // A warm instance queues the next request, so only a colder one has to be protected.
+    const isWarm = this.allowance.allowed >= this.options.instance.slots;
+    // eslint-disable-next-line no-param-reassign -- the use knows how its slot may be released
+    use.mayStillRun = isGivenUp(attempt) && !isWarm;
     return attempt;
   }
 
@@ -260,17 +284,23 @@
       runtime: this,
       slot,
       connection,
+      mayStillRun: false,
       release: () => {
         if (isReleased) return;
         isReleased = true;
-        this.inUse.delete(slot);
         if (use.connection) this.pool.release(use.connection);
-        this.options.onChange();
+        if (use.mayStillRun) setTimeout(() => this.freeSlot(slot), GIVEN_UP_HOLD_MS).unref();
+        else this.freeSlot(slot);
       },
     };
     return use;
   }
 
+  private freeSlot(slot: number): void {
+    this.inUse.delete(slot);
+    this.options.onChange();
+  }
+
   private assertSend(): void {
     const { clock, invariants } = this.options;
     if (this.outSinceMs !== undefined && clock.monotonicMs() - this.outSinceMs > OUT_GRACE_MS) {
