--- a/packages/entryDaemon/tests/support/proofDeployment.ts
+++ b/packages/entryDaemon/tests/support/proofDeployment.ts
@@ -21,11 +21,16 @@
 /** Seed of a run; another one is given by the environment variable SEED. */
 export const SEED = Number(process.env.SEED ?? 1);
 
-/** Three failure domains, six instances, by default three entry daemons. */
-export const smallShape = (entries = 3, meanServiceMs = 20): DeploymentShape => ({
+/** Six instances; with fewer failure domains than entry daemons, several share the slots of one. */
+export const smallShape = (
+  entries = 3,
+  meanServiceMs = 20,
+  failureDomainIds: readonly string[] = ['a', 'b', 'c'],
+  slots = 4,
+): DeploymentShape => ({
   name: 'proof',
-  failureDomainIds: ['a', 'b', 'c'],
-  services: [{ service: SERVICE, instances: 6, slots: 4, connections: 200, meanServiceMs }],
+  failureDomainIds,
+  services: [{ service: SERVICE, instances: 6, slots, connections: 200, meanServiceMs }],
   entries,
 });
 
