Send a lookup without an answer at half of its time to a peer as well

Cause: when all connections to a domain go silent at once, an entry daemon that holds slots of that domain only has nothing but silent connections. A lookup on one of them took all of its time, its hedge went to the next silent one, and the answer was unknown although other domains were idle. Change: at half of its time a lookup is also forwarded to a peer, within the retry budget; the first answer counts, and not-run is told only when neither may have run.

--- a/packages/entryDaemon/src/requestRunner.ts
+++ b/packages/entryDaemon/src/requestRunner.ts
@@ -80,13 +80,46 @@
       return this.refuse('not-ready');
     }
     if (!service.hasAvailableInstance) return this.refuse('no-capacity');
-    return this.admit(work, service, guard);
+    if (work.isOrder || !work.mayForward) return this.admit(work, service, guard);
+    return this.runWithSpillover(work, service);
   }
 
   private refuse(code: string): WorkResult {
     return { kind: 'not-run', code, retryAfterMs: spreadRetryAfterMs(this.options.random) };
   }
 
+  /**
+   * Runs a lookup here and, when it has no answer after half of its time, also at a peer within the
+   * retry budget. All connections to a domain can go silent at once, and a silent one would take all
+   * of the time; the first run goes on because its request may just be a long one.
+   */
+  private async runWithSpillover(work: WorkRequest, service: ServiceRuntime): Promise<WorkResult> {
+    const localAbort = new AbortController();
+    const peerAbort = new AbortController();
+    const signalWith = ({ signal }: AbortController): AbortSignal =>
+      AbortSignal.any([work.signal, signal]);
+    const local = this.admit({ ...work, signal: signalWith(localAbort) }, service, NEVER_SENT);
+    const halfMs = (work.deadlineAtMs - this.options.clock.monotonicMs()) / 2;
+    if (await this.settlesWithin(local, halfMs)) return local;
+    if (!service.retries.take()) return local;
+    const peer = this.forward({ ...work, signal: signalWith(peerAbort) }, service, NEVER_SENT);
+    const earlier = await Promise.race([
+      local.then((result) => ({ result, otherAbort: peerAbort })),
+      peer.then((result) => ({ result, otherAbort: localAbort })),
+    ]);
+    if (earlier.result?.kind === 'answered') {
+      earlier.otherAbort.abort();
+      return earlier.result;
+    }
+    const results = [await local, await peer].filter((result) => result !== undefined);
+    // Not run is true only when neither of the two may have run.
+    return (
+      results.find(({ kind }) => kind === 'answered') ??
+      results.find(({ kind }) => kind !== 'not-run') ??
+      results[0]!
+    );
+  }
+
   private async admit(
     work: WorkRequest,
     service: ServiceRuntime,
