--- a/packages/entryDaemon/src/entryDaemon.ts
+++ b/packages/entryDaemon/src/entryDaemon.ts
@@ -15,7 +15,13 @@
 import { decodeState, encodeState, findMember, isTakenOut } from '@bronzelift/control-log';
 import { AddressBook, KEEP_FOR_MS, VmListReader, formatTicket } from '@bronzelift/membership';
 import type { RosterMember } from '@bronzelift/membership';
-import { DecisionLog, Invariants, LogComponent, Metrics } from '@bronzelift/observability';
+import {
+  DecisionLog,
+  InvariantName,
+  Invariants,
+  LogComponent,
+  Metrics,
+} from '@bronzelift/observability';
 import { InstanceObservationSchema, Phase, ServiceLoadSchema } from '@bronzelift/protocol';
 import type { InstanceObservation, ServiceLoad } from '@bronzelift/protocol';
 import type { EntrySettings } from '@bronzelift/settings';
@@ -261,7 +267,9 @@
     await sleep(KEEP_FOR_MS + SHUTDOWN_EXTRA_MS);
     this.isRefusingWork = true;
     const isDrained = await this.waitUntilIdle();
-    if (!isDrained) this.log.warn(LogComponent.daemon, 'requests still in flight at the limit');
+    if (!isDrained) {
+      this.invariants.report(InvariantName.gracefulStop, 'requests still in flight at the limit');
+    }
     const handover = await this.orders.coordinator.handOver(LEAVE_LIMIT_MS);
     this.log.info(LogComponent.order, 'orders handed over', {
       entries: handover.entries,
--- a/packages/entryDaemon/src/instanceRuntime.ts
+++ b/packages/entryDaemon/src/instanceRuntime.ts
@@ -79,7 +79,7 @@
 
   private outSinceMs: number | undefined;
 
-  private isDraining = false;
+  private drainingSinceMs: number | undefined;
 
   private probing = false;
 
@@ -124,6 +124,11 @@
     return this.outSinceMs === undefined && !this.isDraining;
   }
 
+  /** Whether the backend server said last that it drains. */
+  private get isDraining(): boolean {
+    return this.drainingSinceMs !== undefined;
+  }
+
   get heldCount(): number {
     return this.held.length;
   }
@@ -303,9 +308,14 @@
 
   private assertSend(): void {
     const { clock, invariants } = this.options;
-    if (this.outSinceMs !== undefined && clock.monotonicMs() - this.outSinceMs > OUT_GRACE_MS) {
+    const isPastGrace = (sinceMs: number | undefined): boolean =>
+      sinceMs !== undefined && clock.monotonicMs() - sinceMs > OUT_GRACE_MS;
+    if (isPastGrace(this.outSinceMs)) {
       invariants.report(InvariantName.domainOut, `${this.id} is out of service but got work`);
     }
+    if (isPastGrace(this.drainingSinceMs)) {
+      invariants.report(InvariantName.leavingBackend, `${this.id} drains but got work`);
+    }
     if (this.inUse.size > this.options.instance.slots) {
       invariants.report(InvariantName.coldStartLimit, `${this.id} has more requests than slots`);
     }
@@ -328,7 +338,7 @@
   private noteLoad(load: ReportedLoad): void {
     const isDraining = load.state === 'draining';
     if (isDraining === this.isDraining) return;
-    this.isDraining = isDraining;
+    this.drainingSinceMs = isDraining ? this.options.clock.monotonicMs() : undefined;
     this.options.onChange();
   }
 
