--- a/packages/entryDaemon/tests/support/proofDeployment.ts
+++ b/packages/entryDaemon/tests/support/proofDeployment.ts
@@ -152,3 +152,21 @@
   await sleep(pauseMs);
   await deployment.startEntry(vmId);
 };
+
+/** Sends lookups to one entry daemon, for example to a frozen one that reads them later. */
+export const sendLookups = async (
+  deployment: LocalDeployment,
+  vmId: string,
+  count: number,
+  timeoutMs: number,
+): Promise<void> => {
+  const url = `http://${formatEndpoint(deployment.entry(vmId).caller)}/${SERVICE}/lookups`;
+  const headers = { 'bronzelift-timeout-ms': String(timeoutMs) };
+  await Promise.allSettled(
+    Array.from({ length: count }, async (_, index) => {
+      const signal = AbortSignal.timeout(2 * timeoutMs);
+      const response = await fetch(`${url}/${vmId}-${index}`, { headers, signal });
+      await response.arrayBuffer();
+    }),
+  );
+};
