Send requests to frozen entry daemons and share slots in the process tests

A frozen entry daemon now finds requests in its sockets as it resumes, and is the one that holds the slots of the domain taken out; two entry daemons share each domain in the tests of cold-start-limit.

--- a/packages/entryDaemon/tests/coldStartLimit.process.test.ts
+++ b/packages/entryDaemon/tests/coldStartLimit.process.test.ts
@@ -7,6 +7,7 @@
   freezeEntry,
   loadDeployment,
   replaceEntry,
+  sendLookups,
   smallShape,
   warmUp,
   withDeployment,
@@ -25,7 +26,7 @@
 describe('cold-start-limit', () => {
   // Guards against an allowance that survives a restart, and against trust in a false `warm`.
   proofTest('holds while instances that claim to be warm restart one by one and by domain', () =>
-    withDeployment(smallShape(), async (deployment) => {
+    withDeployment(smallShape(4, 20, ['a', 'b']), async (deployment) => {
       await warmUp(deployment);
       const restart = async (target: { instanceId: string } | { failureDomainId: string }) =>
         deployment.changeBackend({ kind: 'restart', target, downMs: 200 });
@@ -48,7 +49,7 @@
 
   // Guards against slots used by two holders, or with an allowance from before a pause.
   proofTest('holds while entry daemons are frozen with old slots, killed and started', () =>
-    withDeployment(smallShape(), async (deployment) => {
+    withDeployment(smallShape(4, 20, ['a', 'b']), async (deployment) => {
       await warmUp(deployment);
       const restartAll = () => deployment.changeBackend({ kind: 'restart', downMs: 100 });
       await loadDeployment(deployment, { ...HALF_OF_CAPACITY, durationMs: 16_000 }, [
@@ -57,6 +58,7 @@
         at(8_300, 'restart a domain before the resumption', () =>
           deployment.changeBackend({ kind: 'restart', target: { failureDomainId: 'b' } }),
         ),
+        at(8_350, 'send to the frozen one', () => sendLookups(deployment, 'entry-2', 30, 3_000)),
         at(11_000, 'kill', () => replaceEntry(deployment, 'entry-1', 500)),
         at(11_500, 'restart all', restartAll),
         at(14_000, 'restart all', restartAll),
--- a/packages/entryDaemon/tests/domainOut.process.test.ts
+++ b/packages/entryDaemon/tests/domainOut.process.test.ts
@@ -7,6 +7,7 @@
   at,
   freezeEntry,
   loadDeployment,
+  sendLookups,
   smallShape,
   withDeployment,
 } from './support/proofDeployment.js';
@@ -60,12 +61,14 @@
         at(1_500, 'freeze', () => freezeEntry(deployment, 'entry-3', 7_000)),
         at(2_000, 'take out', async () => {
           outAtMs = Date.now();
-          await deployment.append({ kind: 'target-taken-out', target: 'domain:a' });
+          await deployment.append({ kind: 'target-taken-out', target: 'domain:c' });
           await sleep(100);
           await deployment.changeLog({ kind: 'outage' });
         }),
+        // The frozen entry daemon, which holds the slots of this domain, finds them as it resumes.
+        at(8_000, 'send to the frozen one', () => sendLookups(deployment, 'entry-3', 30, 3_000)),
       ]);
-      await expectOut(deployment, 'a', outAtMs);
+      await expectOut(deployment, 'c', outAtMs);
       const statuses = await Promise.all(
         deployment.entries.map(({ vmId }) => deployment.status(vmId)),
       );
--- a/packages/entryDaemon/tests/notRunIsTrue.process.test.ts
+++ b/packages/entryDaemon/tests/notRunIsTrue.process.test.ts
@@ -1,12 +1,8 @@
 import { sleep } from '@bronzelift/common';
 import { expect } from 'chai';
 
-import {
-  PROOF_TIMEOUT_MS,
-  freezeEntry,
-  smallShape,
-  withDeployment,
-} from './support/proofDeployment.js';
+import { freezeEntry, smallShape, withDeployment } from './support/proofDeployment.js';
+import { proofTest } from './support/proofTest.js';
 import { KeyLedger, createKeys } from './support/singleOrders.js';
 
 const HOME = 'entry-1';
@@ -17,11 +13,9 @@
 // Longer than a member lease (3 s), the eviction of a silent member and its settlement together.
 const FREEZE_MS = 8_000;
 
-describe('order-at-most-once and not-run-is-true of single keys', function suite() {
-  this.timeout(PROOF_TIMEOUT_MS);
-
+describe('order-at-most-once and not-run-is-true of single keys', () => {
   // Guards against duplicates that start an attempt of their own instead of joining the first.
-  it('runs a key once that arrives at all entry daemons at once', () =>
+  proofTest('runs a key once that arrives at all entry daemons at once', () =>
     withDeployment(smallShape(3, 40), async (deployment) => {
       const ledger = KeyLedger.create(deployment);
       const keys = await createKeys(deployment, HOME, 'at-once', KEYS);
@@ -29,10 +23,11 @@
       expect(replies.filter(({ outcome }) => outcome !== 'ran')).to.deep.equal([]);
       await ledger.sendAll(keys, ALL, 4_000);
       await ledger.expectTrue();
-    }));
+    }),
+  );
 
   // Guards against a takeover that runs a key whose home was killed after it had sent it.
-  it('does not run a key again whose home was killed after sending', () =>
+  proofTest('does not run a key again whose home was killed after sending', () =>
     withDeployment(smallShape(3, 40), async (deployment) => {
       const ledger = KeyLedger.create(deployment);
       const keys = await createKeys(deployment, HOME, 'killed', KEYS);
@@ -50,35 +45,39 @@
       const repeated = await ledger.sendAll(keys, OTHERS, 1_000);
       await ledger.expectTrue();
       expect(repeated).to.have.length(KEYS * OTHERS.length);
-    }));
+    }),
+  );
 
   for (const isLogDown of [false, true]) {
     // Guards against a home that sends after its lease, and against requests left in its sockets.
-    it(`does not run a key again while its home is frozen and after it resumed, log ${isLogDown ? 'down' : 'up'}`, () =>
-      withDeployment(smallShape(3, 40), async (deployment) => {
-        const ledger = KeyLedger.create(deployment);
-        const sent = await createKeys(deployment, HOME, 'sent', KEYS);
-        const unsent = await createKeys(deployment, HOME, 'unsent', KEYS);
-        const late = await createKeys(deployment, HOME, 'late', KEYS);
-        if (isLogDown) await deployment.changeLog({ kind: 'outage' });
-        await deployment.changeBackend({ kind: 'slow', factor: 10 });
-        const first = ledger.sendAll(sent, [HOME], 2_000);
-        await sleep(150);
-        const frozen = freezeEntry(deployment, HOME, FREEZE_MS);
-        const stuck = ledger.sendAll(unsent, ALL, 12_000);
-        const early = ledger.sendAll(sent, OTHERS, 2_000);
-        await Promise.all([first, early]);
-        await deployment.changeBackend({ kind: 'slow', factor: 1 });
-        await ledger.sendAll([...sent, ...late], OTHERS, 1_500);
-        await frozen;
-        const resumed = ledger.sendAll(sent, ALL, 2_000);
-        await Promise.all([resumed, stuck]);
-        await ledger.sendAll([...sent, ...unsent, ...late], ALL, 2_000);
-        await ledger.expectTrue();
-        await deployment.changeLog({ kind: 'available' });
-        await deployment.waitUntilReady();
-        await ledger.sendAll([...sent, ...unsent], ALL, 2_000);
-        await ledger.expectTrue();
-      }));
+    proofTest(
+      `does not run a key again while its home is frozen and after it resumed, log ${isLogDown ? 'down' : 'up'}`,
+      () =>
+        withDeployment(smallShape(3, 40), async (deployment) => {
+          const ledger = KeyLedger.create(deployment);
+          const sent = await createKeys(deployment, HOME, 'sent', KEYS);
+          const unsent = await createKeys(deployment, HOME, 'unsent', KEYS);
+          const late = await createKeys(deployment, HOME, 'late', KEYS);
+          if (isLogDown) await deployment.changeLog({ kind: 'outage' });
+          await deployment.changeBackend({ kind: 'slow', factor: 10 });
+          const first = ledger.sendAll(sent, [HOME], 2_000);
+          await sleep(150);
+          const frozen = freezeEntry(deployment, HOME, FREEZE_MS);
+          const stuck = ledger.sendAll(unsent, ALL, 12_000);
+          const early = ledger.sendAll(sent, OTHERS, 2_000);
+          await Promise.all([first, early]);
+          await deployment.changeBackend({ kind: 'slow', factor: 1 });
+          await ledger.sendAll([...sent, ...late], OTHERS, 1_500);
+          await frozen;
+          const resumed = ledger.sendAll(sent, ALL, 2_000);
+          await Promise.all([resumed, stuck]);
+          await ledger.sendAll([...sent, ...unsent, ...late], ALL, 2_000);
+          await ledger.expectTrue();
+          await deployment.changeLog({ kind: 'available' });
+          await deployment.waitUntilReady();
+          await ledger.sendAll([...sent, ...unsent], ALL, 2_000);
+          await ledger.expectTrue();
+        }),
+    );
   }
 });
--- a/packages/entryDaemon/tests/orderAtMostOnce.process.test.ts
+++ b/packages/entryDaemon/tests/orderAtMostOnce.process.test.ts
@@ -1,7 +1,6 @@
 import { sleep } from '@bronzelift/common';
 
 import {
-  PROOF_TIMEOUT_MS,
   at,
   expectCorrect,
   freezeEntry,
@@ -10,17 +9,16 @@
   smallShape,
   withDeployment,
 } from './support/proofDeployment.js';
+import { proofTest } from './support/proofTest.js';
 
 // Longer than a member lease (3 s), the eviction of a silent member and its settlement together.
 const FREEZE_MS = 8_000;
 
 const ORDER_LOAD = { lookupsPerSecond: 40, ordersPerSecond: 80 };
 
-describe('order-at-most-once and not-run-is-true under load', function suite() {
-  this.timeout(PROOF_TIMEOUT_MS);
-
+describe('order-at-most-once and not-run-is-true under load', () => {
   // Guards against a second run at the witness, or a false not-run, when a home is lost or late.
-  it('holds while homes are killed and frozen and append responses are lost', () =>
+  proofTest('holds while homes are killed and frozen and append responses are lost', () =>
     withDeployment(smallShape(4, 40), async (deployment) => {
       const result = await loadDeployment(deployment, { ...ORDER_LOAD, durationMs: 16_000 }, [
         at(2_000, 'lose append responses', () =>
@@ -38,10 +36,11 @@
         at(11_000, 'kill', () => replaceEntry(deployment, 'entry-3', 500)),
       ]);
       expectCorrect(result);
-    }));
+    }),
+  );
 
   // Guards against orders that depend on the log, whose roster cannot change during an outage.
-  it('holds without the log while a home is frozen and another one is killed', () =>
+  proofTest('holds without the log while a home is frozen and another one is killed', () =>
     withDeployment(smallShape(4, 40), async (deployment) => {
       await deployment.changeLog({ kind: 'outage' });
       const result = await loadDeployment(deployment, { ...ORDER_LOAD, durationMs: 16_000 }, [
@@ -58,5 +57,6 @@
       expectCorrect(result);
       await deployment.changeLog({ kind: 'available' });
       await sleep(1_000);
-    }));
+    }),
+  );
 });
