--- a/packages/entryDaemon/src/instanceRuntime.ts
+++ b/packages/entryDaemon/src/instanceRuntime.ts
@@ -7,6 +7,7 @@
   ReportedLoad,
 } from '@bronzelift/backend-client';
 import type { Clock } from '@bronzelift/common';
+import { assertNever } from '@bronzelift/common';
 import type { InstanceConfiguration, ServiceConfiguration } from '@bronzelift/configuration';
 import type { Invariants } from '@bronzelift/observability';
 import { InvariantName } from '@bronzelift/observability';
@@ -14,6 +15,7 @@
 
 import {
   CONNECTION_COST_MS,
+  GIVEN_UP_HOLD_MS,
   OUT_GRACE_MS,
   PROBE_COST_MS,
   PROBE_INTERVAL_MS,
@@ -40,9 +42,27 @@
   readonly slot: number;
   /** Undefined: a new connection has to be opened. */
   connection: BackendConnection | undefined;
+  /** The backend server may still work on the request although it was given up. */
+  mayStillRun: boolean;
   readonly release: () => void;
 }
 
+/** Whether this side closed the connection before the backend server had finished. */
+const isGivenUp = (attempt: BackendAttempt): boolean => {
+  switch (attempt.kind) {
+    case 'failed-after-send':
+      return attempt.reason !== 'reset' && attempt.reason !== 'cut-short';
+    case 'too-large':
+      return true;
+    case 'answered':
+    case 'refused':
+    case 'not-sent':
+      return false;
+    default:
+      return assertNever(attempt);
+  }
+};
+
 /** One instance as this entry VM uses it: held slots, connections, allowance and probes. */
 export class InstanceRuntime {
   readonly allowance: InstanceAllowance;
@@ -59,7 +79,7 @@
 
   private outSinceMs: number | undefined;
 
-  private isDraining = false;
+  private drainingSinceMs: number | undefined;
 
   private probing = false;
 
@@ -104,6 +124,11 @@
     return this.outSinceMs === undefined && !this.isDraining;
   }
 
+  /** Whether the backend server said last that it drains. */
+  private get isDraining(): boolean {
+    return this.drainingSinceMs !== undefined;
+  }
+
   get heldCount(): number {
     return this.held.length;
   }
@@ -192,6 +217,10 @@
     const connection = use.connection!;
     const attempt = await this.pool.send(request, connection, signal);
     this.learn(connection, attempt, attempt.durationMs);
+    // A warm instance queues the next request, so only a colder one has to be protected.
+    const isWarm = this.allowance.allowed >= this.options.instance.slots;
+    // eslint-disable-next-line no-param-reassign -- the use knows how its slot may be released
+    use.mayStillRun = isGivenUp(attempt) && !isWarm;
     return attempt;
   }
 
@@ -260,22 +289,33 @@
       runtime: this,
       slot,
       connection,
+      mayStillRun: false,
       release: () => {
         if (isReleased) return;
         isReleased = true;
-        this.inUse.delete(slot);
         if (use.connection) this.pool.release(use.connection);
-        this.options.onChange();
+        if (use.mayStillRun) setTimeout(() => this.freeSlot(slot), GIVEN_UP_HOLD_MS).unref();
+        else this.freeSlot(slot);
       },
     };
     return use;
   }
 
+  private freeSlot(slot: number): void {
+    this.inUse.delete(slot);
+    this.options.onChange();
+  }
+
   private assertSend(): void {
     const { clock, invariants } = this.options;
-    if (this.outSinceMs !== undefined && clock.monotonicMs() - this.outSinceMs > OUT_GRACE_MS) {
+    const isPastGrace = (sinceMs: number | undefined): boolean =>
+      sinceMs !== undefined && clock.monotonicMs() - sinceMs > OUT_GRACE_MS;
+    if (isPastGrace(this.outSinceMs)) {
       invariants.report(InvariantName.domainOut, `${this.id} is out of service but got work`);
     }
+    if (isPastGrace(this.drainingSinceMs)) {
+      invariants.report(InvariantName.leavingBackend, `${this.id} drains but got work`);
+    }
     if (this.inUse.size > this.options.instance.slots) {
       invariants.report(InvariantName.coldStartLimit, `${this.id} has more requests than slots`);
     }
@@ -298,7 +338,7 @@
   private noteLoad(load: ReportedLoad): void {
     const isDraining = load.state === 'draining';
     if (isDraining === this.isDraining) return;
-    this.isDraining = isDraining;
+    this.drainingSinceMs = isDraining ? this.options.clock.monotonicMs() : undefined;
     this.options.onChange();
   }
 
