Add a baseline entry process for comparison

The measurements need something to compare with: processes that choose by random, round robin, least outstanding or two choices, each alone, with the caller protocol of the real daemon and a simple retry of not-run.

--- /dev/null
+++ b/packages/baselineEntry/src/addresses.ts
@@ -0,0 +1,24 @@
+import type { RandomSource } from '@bronzelift/common';
+import { shuffle } from '@bronzelift/common';
+import { formatTicket } from '@bronzelift/membership';
+import type { AddressAnswer } from '@bronzelift/membership';
+
+import { KEEP_FOR_MS, TICKET_VALID_MS } from './constants.js';
+import type { BaselinePeer } from './types.js';
+
+/** All peers in random order, with a well-formed ticket that no baseline process interprets. */
+export const answerAddresses = (
+  peers: readonly BaselinePeer[],
+  incarnation: string,
+  nowMs: number,
+  random: RandomSource,
+): AddressAnswer => {
+  const listed = shuffle(random, peers);
+  const [home, witness] = listed.map(({ vmId }) => ({ vmId, incarnation }));
+  return {
+    addresses: listed.map(({ caller, failureDomainId }) => ({ ...caller, failureDomainId })),
+    keepForMs: KEEP_FOR_MS,
+    ticket: formatTicket({ home: home!, witness, issuedAtMs: nowMs }),
+    ticketValidForMs: TICKET_VALID_MS,
+  };
+};
