--- a/apps/demo/src/main.ts
+++ b/apps/demo/src/main.ts
@@ -4,6 +4,7 @@
 
 import { DEMO_CASES } from './demoLoads.js';
 import { formatDemoReport, isCorrect } from './demoReport.js';
+import { ReportCommand } from './report/reportCommand.js';
 import { runDemoCase, startDeployment } from './runDemo.js';
 
 const MS_PER_S = 1_000;
@@ -66,4 +67,5 @@
 
 const cli = new Cli({ binaryName: 'bronzelift-demo' });
 cli.register(DemoCommand);
+cli.register(ReportCommand);
 await cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/apps/demo/src/report/reportCommand.ts
@@ -0,0 +1,115 @@
+import { mkdir, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+
+import { renderPlot } from '@bronzelift/load-tool';
+import { Command, Option, UsageError } from 'clipanion';
+
+import { DEFAULT_SECONDS, POLICY_NAMES, QUICK_SECONDS, REPORT_SHAPES } from './constants.js';
+import { formatReportTable } from './reportTable.js';
+import { runScenario } from './runScenario.js';
+import { SCENARIOS } from './scenarios.js';
+import { renderServicePlot } from './servicePlot.js';
+import type { PolicyName, ReportRow, RunOptions, Scenario } from './types.js';
+
+const MS_PER_S = 1_000;
+const QUICK_POLICIES: readonly PolicyName[] = ['bronzelift', 'least-outstanding'];
+
+const parseList = <T extends string>(text: string, known: readonly T[], name: string): T[] =>
+  text.split(',').map((item) => {
+    const found = known.find((candidate) => candidate === item);
+    if (found === undefined)
+      throw new UsageError(`${name}: ${item} is none of ${known.join(', ')}`);
+    return found;
+  });
+
+const parsePositive = (text: string, name: string): number => {
+  const value = Number(text);
+  if (Number.isFinite(value) && value > 0) return value;
+  throw new UsageError(`${name} must be a positive number`);
+};
+
+/** Compares bronzelift with the baselines in scenarios with failures. */
+export class ReportCommand extends Command {
+  static override paths = [['report']];
+
+  static override usage = Command.Usage({
+    description: 'Measures scenarios with bronzelift and four baselines and prints a table.',
+    details: 'Each run has fresh processes on loopback; the runs follow one another.',
+  });
+
+  scenario = Option.String('--scenario', { description: 'Comma-separated; all when absent' });
+
+  policies = Option.String('--policies', {
+    description: 'Comma-separated: bronzelift and baselines; all when absent',
+  });
+
+  deployment = Option.String('--deployment', 'mantelmaat', {
+    description: 'mantelmaat or authority',
+  });
+
+  seed = Option.String('--seed', '1');
+
+  seconds = Option.String('--seconds', { description: 'Measured time of each run' });
+
+  quick = Option.Boolean('--quick', false, {
+    description: 'Shorter runs with bronzelift and least-outstanding only',
+  });
+
+  json = Option.String('--json', { description: 'File for all results' });
+
+  plot = Option.String('--plot', { description: 'Folder for SVG plots' });
+
+  override async execute(): Promise<number> {
+    const scenarios = this.selectScenarios();
+    const policies = this.selectPolicies();
+    const rows: ReportRow[] = [];
+    for (const scenario of scenarios) {
+      for (const policy of policies) {
+        if (scenario.policies && !scenario.policies.includes(policy)) continue;
+        this.context.stderr.write(`running ${scenario.name} with ${policy} ...\n`);
+        rows.push(await runScenario(scenario, this.createRunOptions(policy)));
+        // Written after each run, so that an interrupted report keeps what it has.
+        if (this.json) await writeFile(this.json, JSON.stringify(rows));
+      }
+    }
+    this.context.stdout.write(`${formatReportTable(rows)}\n`);
+    if (this.plot) await ReportCommand.writePlots(this.plot, rows);
+    return 0;
+  }
+
+  private selectScenarios(): Scenario[] {
+    if (!this.scenario) return [...SCENARIOS];
+    const names = SCENARIOS.map(({ name }) => name);
+    const chosen = parseList(this.scenario, names, '--scenario');
+    return SCENARIOS.filter(({ name }) => chosen.includes(name));
+  }
+
+  private selectPolicies(): readonly PolicyName[] {
+    if (this.policies) return parseList(this.policies, POLICY_NAMES, '--policies');
+    return this.quick ? QUICK_POLICIES : POLICY_NAMES;
+  }
+
+  private createRunOptions(policy: PolicyName): RunOptions {
+    const names = Object.keys(REPORT_SHAPES) as (keyof typeof REPORT_SHAPES)[];
+    const [name] = parseList(this.deployment, names, '--deployment');
+    const seconds = this.quick ? QUICK_SECONDS : DEFAULT_SECONDS;
+    return {
+      shape: REPORT_SHAPES[name!],
+      policy,
+      seed: parsePositive(this.seed, '--seed'),
+      measuredMs: MS_PER_S * (this.seconds ? parsePositive(this.seconds, '--seconds') : seconds),
+    };
+  }
+
+  private static async writePlots(folder: string, rows: readonly ReportRow[]): Promise<void> {
+    await mkdir(folder, { recursive: true });
+    const names = [...new Set(rows.map(({ scenario }) => scenario))];
+    for (const name of names) {
+      const own = rows.filter(({ scenario }) => scenario === name);
+      await writeFile(join(folder, `${name}.svg`), renderServicePlot(own));
+    }
+    for (const { scenario, policy, result } of rows) {
+      await writeFile(join(folder, `${scenario}-${policy}.svg`), renderPlot(result));
+    }
+  }
+}
--- /dev/null
+++ b/apps/demo/src/report/servicePlot.ts
@@ -0,0 +1,61 @@
+import type { ReportRow } from './types.js';
+
+const WIDTH = 900;
+const HEIGHT = 320;
+const MARGIN = 50;
+const LEGEND_STEP = 150;
+const LEGEND_BASELINE = 20;
+const FONT = 'font-family="sans-serif" font-size="12"';
+const COLORS = ['#1a7f37', '#888888', '#d1761a', '#1f4e9c', '#b3261e'] as const;
+
+interface Line {
+  readonly label: string;
+  readonly shares: readonly number[];
+}
+
+const toLine = ({ policy, result }: ReportRow): Line => ({
+  label: policy,
+  shares: result.total.seconds
+    .filter(({ offered }) => offered > 0)
+    .map(({ offered, served }) => served / offered),
+});
+
+const toPoint = (share: number, index: number, count: number, lowest: number): string => {
+  const x = MARGIN + (index / Math.max(1, count - 1)) * (WIDTH - 2 * MARGIN);
+  const y = HEIGHT - MARGIN - ((share - lowest) / (1 - lowest)) * (HEIGHT - 2 * MARGIN);
+  return `${x.toFixed(1)},${y.toFixed(1)}`;
+};
+
+const renderLine = (line: Line, index: number, lowest: number): string => {
+  const color = COLORS[index % COLORS.length]!;
+  const { shares, label } = line;
+  const points = shares.map((share, second) => toPoint(share, second, shares.length, lowest));
+  const x = MARGIN + index * LEGEND_STEP;
+  return [
+    `<polyline fill="none" stroke="${color}" stroke-width="1.5" points="${points.join(' ')}"/>`,
+    `<text x="${x}" y="${HEIGHT - LEGEND_BASELINE}" fill="${color}" ${FONT}>${label}</text>`,
+  ].join('\n');
+};
+
+/** Served share by the second in which requests were sent, one line for each system, as SVG. */
+export const renderServicePlot = (rows: readonly ReportRow[]): string => {
+  const lines = rows.map(toLine);
+  const worst = Math.min(1, ...lines.flatMap(({ shares }) => shares));
+  // The axis begins at a round value below the worst second, and never above 90%.
+  const lowest = Math.min(0.9, Math.floor(worst * 10) / 10);
+  const bottomPx = HEIGHT - MARGIN;
+  const title = `${rows[0]?.deployment ?? ''}, ${rows[0]?.scenario ?? ''}: served share by second`;
+  return [
+    `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${HEIGHT}">`,
+    '<rect width="100%" height="100%" fill="white"/>',
+    `<text x="${MARGIN}" y="${MARGIN / 2}" ${FONT}>${title}</text>`,
+    `<line x1="${MARGIN}" y1="${bottomPx}" x2="${WIDTH - MARGIN}" y2="${bottomPx}" stroke="black"/>`,
+    `<line x1="${MARGIN}" y1="${MARGIN}" x2="${MARGIN}" y2="${bottomPx}" stroke="black"/>`,
+    `<text x="4" y="${MARGIN + 4}" ${FONT}>100%</text>`,
+    `<text x="4" y="${bottomPx}" ${FONT}>${(lowest * 100).toFixed(0)}%</text>`,
+    `<text x="${WIDTH - MARGIN}" y="${bottomPx + 16}" ${FONT}>${lines[0]?.shares.length ?? 0} s</text>`,
+    ...lines.map((line, index) => renderLine(line, index, lowest)),
+    '</svg>',
+    '',
+  ].join('\n');
+};
