--- a/packages/admission/tests/admissionQueue.test.ts
+++ b/packages/admission/tests/admissionQueue.test.ts
@@ -218,6 +218,20 @@
     expect(order.answers).to.deep.equal([]);
   });
 
+  it('starts no request that waited until it would be cut off, with an unknown outcome', async () => {
+    const harness = new Harness();
+    harness.setSlots(1);
+    const first = harness.arrive(false, 1000);
+    const late = harness.arrive(true, 40);
+    const inTime = harness.arrive(true, 80);
+    await harness.advance(35);
+    first.finish!(false);
+    await nextTurn();
+    expect(late.answers[0]).to.include({ kind: 'not-run', code: 'deadline-exceeded' });
+    expect(late.starts).to.equal(0);
+    expect(inTime.starts).to.equal(1);
+  });
+
   it('makes room for an order in a full queue, and refuses a lookup there', async () => {
     const harness = new Harness(2);
     harness.setSlots(1);
