--- a/packages/admission/src/admissionQueue.ts
+++ b/packages/admission/src/admissionQueue.ts
@@ -7,6 +7,7 @@
   DEFAULT_SERVICE_TIME_MS,
   DISPLACEMENT_CHECKS_PER_ORDER,
   MIN_EXPIRY_INTERVAL_MS,
+  MIN_WAIT_MS,
   ORDER_SHARE_WEIGHT,
   SERVICE_TIME_WEIGHT,
 } from './constants.js';
@@ -184,10 +185,15 @@
     this.meanServiceTimeMs = updateMean(this.meanServiceTimeMs, serviceTimeMs, SERVICE_TIME_WEIGHT);
   }
 
-  /** A slot that others wait for is not used for a request that will probably end too late. */
+  /**
+   * Whether a request would most likely be cut off at its deadline. A slot that others wait for is
+   * not used for it, nor one that comes after a wait: started all the same, it would spend the slot
+   * on an unknown outcome and cost the connection.
+   */
   private isTooLate(entry: AdmissionEntry, nowMs: number): boolean {
     const isContended = this.waiting.orderCount + this.waiting.lookupCount > 1;
-    const leastMs = isContended ? this.meanServiceTimeMs : 0;
+    const hasWaited = nowMs - entry.arrivedAtMs > MIN_WAIT_MS;
+    const leastMs = isContended || hasWaited ? this.meanServiceTimeMs : 0;
     return nowMs + leastMs >= entry.deadlineAtMs;
   }
 
--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -10,6 +10,9 @@
 /** Weight of the latest start in the share of starts that are orders. */
 export const ORDER_SHARE_WEIGHT = 0.02;
 
+/** A start later than this after the arrival counts as a wait; less is scheduling. */
+export const MIN_WAIT_MS = 1;
+
 /** Requests that may wait; bounds memory, the deadline bounds the wait. */
 export const DEFAULT_MAX_QUEUED = 2000;
 
--- a/packages/entryDaemon/src/entryDaemon.ts
+++ b/packages/entryDaemon/src/entryDaemon.ts
@@ -389,7 +389,7 @@
       onObservations: (observations, sentAtMs) => this.takeObservations(observations, sentAtMs),
       onLoads: (vmId, loads) => {
         for (const load of loads) {
-          this.slots.findService(load.service)?.peers.report(vmId, load.freeSlots);
+          this.slots.findService(load.service)?.reportPeer(vmId, load.freeSlots);
         }
       },
       exchange: (endpoint, request) => this.heartbeatSocket.exchange(endpoint, request),
@@ -527,7 +527,7 @@
       const { queuedLookups, queuedOrders } = service.queue.stats();
       return create(ServiceLoadSchema, {
         service: service.name,
-        freeSlots: isServing ? service.freeSlots() : 0,
+        freeSlots: isServing ? service.offeredSlots() : 0,
         queued: queuedLookups + queuedOrders,
       });
     });
--- a/packages/entryDaemon/src/slotDirectory.ts
+++ b/packages/entryDaemon/src/slotDirectory.ts
@@ -93,11 +93,14 @@
     this.updateServices(configuration);
     this.updateInstances(configuration);
     for (const runtime of this.instances.values()) runtime.setOut(isOut(runtime.configuration));
+    const byService = new Map<string, InstanceRuntime[]>();
+    for (const { id, service } of configuration.instances) {
+      const own = byService.get(service) ?? [];
+      own.push(this.instances.get(id)!);
+      byService.set(service, own);
+    }
     for (const service of this.services.values()) {
-      const own = configuration.instances
-        .filter((instance) => instance.service === service.name)
-        .map((instance) => this.instances.get(instance.id)!);
-      service.setInstances(own);
+      service.setInstances(byService.get(service.name) ?? []);
     }
     this.refresh();
   }
--- a/packages/settings/src/constants.ts
+++ b/packages/settings/src/constants.ts
@@ -25,10 +25,12 @@
 export const SETTINGS_DEFAULTS = {
   log: { readWaitMs: 1000, retentionMs: 86_400_000 },
   vmList: { pollIntervalMs: 1000 },
-  lease: { leaseMs: 3000, heartbeatMs: 500, marginMs: 500, freshnessMs: 3000 },
-  callers: { keepForMs: 5000, ticketValidMs: 60_000 },
-  orders: { retentionMs: 900_000 },
-  logging: { level: 'info' },
 } as const satisfies {
   readonly [Section in keyof EntrySettings]?: Partial<EntrySettings[Section]>;
 };
+
+/**
+ * Control state older than this is not acted on. Durations that all members must agree on, such as
+ * this one and the lease, are constants, because a member with another value would break the leases.
+ */
+export const FRESHNESS_MS = 3000;
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -5,7 +5,7 @@
 
 import { describeError } from '@bronzelift/common';
 
-import { ENTRY_VM_ID_PATTERN, SETTINGS_DEFAULTS } from './constants.js';
+import { ENTRY_VM_ID_PATTERN, SETTINGS_DEFAULTS, FRESHNESS_MS } from './constants.js';
 import { readIniDocument } from './iniDocument.js';
 import { Err, Ok } from './results.js';
 import {
@@ -13,10 +13,8 @@
   createProblemAt,
   endpoint,
   identifier,
-  oneOf,
   wholeNumber,
 } from './schemaCheck.js';
-import { LOG_LEVELS } from './types.js';
 import type { EntrySettings, IniDocument, IniSection, SettingsProblem } from './types.js';
 import { finishProblems, parseNumericEndpoint } from './utils.js';
 
@@ -37,7 +35,7 @@
   port: wholeNumber(0, MAX_PORT, 'the TCP port (0 picks a free one)'),
 });
 
-const { log, vmList, lease, callers, orders, logging } = SETTINGS_DEFAULTS;
+const { log, vmList } = SETTINGS_DEFAULTS;
 
 const SECTION_SCHEMAS = {
   entry: z
@@ -66,33 +64,6 @@
       poll_interval_ms: wholeNumber(10, HOUR_MS, MILLISECONDS).default(vmList.pollIntervalMs),
     })
     .transform((keys) => ({ address: keys.address, pollIntervalMs: keys.poll_interval_ms })),
-  lease: z
-    .strictObject({
-      lease_ms: wholeNumber(100, 60_000, MILLISECONDS).default(lease.leaseMs),
-      heartbeat_ms: wholeNumber(10, 60_000, MILLISECONDS).default(lease.heartbeatMs),
-      margin_ms: wholeNumber(0, 60_000, MILLISECONDS).default(lease.marginMs),
-      freshness_ms: wholeNumber(100, 60_000, MILLISECONDS).default(lease.freshnessMs),
-    })
-    .transform((keys) => ({
-      leaseMs: keys.lease_ms,
-      heartbeatMs: keys.heartbeat_ms,
-      marginMs: keys.margin_ms,
-      freshnessMs: keys.freshness_ms,
-    })),
-  callers: z
-    .strictObject({
-      keep_for_ms: wholeNumber(100, HOUR_MS, MILLISECONDS).default(callers.keepForMs),
-      ticket_valid_ms: wholeNumber(1000, HOUR_MS, MILLISECONDS).default(callers.ticketValidMs),
-    })
-    .transform((keys) => ({ keepForMs: keys.keep_for_ms, ticketValidMs: keys.ticket_valid_ms })),
-  orders: z
-    .strictObject({
-      retention_ms: wholeNumber(1000, 24 * HOUR_MS, MILLISECONDS).default(orders.retentionMs),
-    })
-    .transform((keys) => ({ retentionMs: keys.retention_ms })),
-  logging: z
-    .strictObject({ level: oneOf(LOG_LEVELS).default(logging.level) })
-    .transform((keys) => ({ level: keys.level })),
 };
 
 type SectionName = keyof typeof SECTION_SCHEMAS;
@@ -136,25 +107,13 @@
       ),
     );
 
-/** Rules between keys; the heartbeat must renew the lease several times before it ends. */
+/** Rules between keys, and between a key and the constants of the system. */
 const checkRelations = (document: IniDocument, values: SectionValues): SettingsProblem[] => {
   const problems: SettingsProblem[] = [];
-  if (values.lease && values.lease.heartbeatMs * 2 > values.lease.leaseMs) {
-    const expected = `at most half of lease_ms (${values.lease.leaseMs})`;
-    problems.push(createProblemAt(document, 'lease', 'heartbeat_ms', expected));
-  }
-  if (values.log && values.lease && values.log.readWaitMs >= values.lease.freshnessMs) {
-    const expected = `less than freshness_ms of [lease] (${values.lease.freshnessMs})`;
+  if (values.log && values.log.readWaitMs >= FRESHNESS_MS) {
+    const expected = `less than ${FRESHNESS_MS}, after which the control state is not fresh`;
     problems.push(createProblemAt(document, 'log', 'read_wait_ms', expected));
   }
-  if (
-    values.orders &&
-    values.callers &&
-    values.orders.retentionMs <= values.callers.ticketValidMs
-  ) {
-    const expected = `more than ticket_valid_ms of [callers] (${values.callers.ticketValidMs})`;
-    problems.push(createProblemAt(document, 'orders', 'retention_ms', expected));
-  }
   const listening = (['caller', 'peer', 'admin'] as const).filter((name) => values[name]);
   listening.forEach((name, index) => {
     const same = listening
--- a/packages/settings/src/types.ts
+++ b/packages/settings/src/types.ts
@@ -39,10 +39,6 @@
   readonly problems: readonly IniProblem[];
 }
 
-/** Severity from which log lines are written. */
-export const LOG_LEVELS = ['error', 'warn', 'info', 'debug'] as const;
-export type LogLevel = (typeof LOG_LEVELS)[number];
-
 /** Settings of the entry daemon; durations in milliseconds. */
 export interface EntrySettings {
   readonly entry: { readonly vmId: VmId; readonly failureDomainId: FailureDomainId };
@@ -58,13 +54,4 @@
     readonly retentionMs: number;
   };
   readonly vmList: { readonly address: Endpoint; readonly pollIntervalMs: number };
-  readonly lease: {
-    readonly leaseMs: number;
-    readonly heartbeatMs: number;
-    readonly marginMs: number;
-    readonly freshnessMs: number;
-  };
-  readonly callers: { readonly keepForMs: number; readonly ticketValidMs: number };
-  readonly orders: { readonly retentionMs: number };
-  readonly logging: { readonly level: LogLevel };
 }
