--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -8,13 +8,7 @@
 import { ENTRY_VM_ID_PATTERN, SETTINGS_DEFAULTS, FRESHNESS_MS } from './constants.js';
 import { readIniDocument } from './iniDocument.js';
 import { Err, Ok } from './results.js';
-import {
-  checkSection,
-  createProblemAt,
-  endpoint,
-  identifier,
-  wholeNumber,
-} from './schemaCheck.js';
+import { checkSection, createProblemAt, endpoint, identifier, wholeNumber } from './schemaCheck.js';
 import type { EntrySettings, IniDocument, IniSection, SettingsProblem } from './types.js';
 import { finishProblems, parseNumericEndpoint } from './utils.js';
 
