Count the time that requests may have waited unread against their deadline

Cause: a resumed entry daemon read requests that had waited in its sockets for seconds and gave them the whole time limit again. The caller had given up, repeated the order with the same key at another entry daemon and was told not-run; then the old request ran at the home. Ruled out: the home itself, which got a valid forward with a deadline that was still to come. Change: the longest pause within the last 500 ms is taken off the time limit of a request that is read. A late order is answered unknown, as it may have run elsewhere; a late lookup not-run. New direct test: fails before (1 run of a key told not-run), passes after. The test was then narrowed to keys whose witness is not the frozen entry daemon, as otherwise the home rightly answers unknown. Not covered: an order whose caller gave up while the system was not paused, such as one that waits in the network.

--- a/packages/entryDaemon/src/callerServer.ts
+++ b/packages/entryDaemon/src/callerServer.ts
@@ -28,6 +28,8 @@
   readonly issueTicket: () => string | undefined;
   readonly findService: (name: string) => ServiceRuntime | undefined;
   readonly nextRequestId: () => string;
+  /** Longest time in milliseconds that a request read now may have waited unread. */
+  readonly readDelayMs: () => number;
   /** Whether new work is refused because of a planned shutdown. */
   readonly isStopping: () => boolean;
 }
@@ -106,6 +108,7 @@
     url: string,
   ): Promise<void> {
     const startedAtMs = this.options.clock.monotonicMs();
+    const readDelayMs = this.options.readDelayMs();
     if (this.options.isStopping()) {
       response.setHeader('connection', 'close');
       writeAnswer(response, this.refuse('shutting-down'));
@@ -140,8 +143,8 @@
       method: message.method ?? 'GET',
       headers: message.headers,
       body: body.body,
-      deadlineAtMs: startedAtMs + timeoutMs,
-      deadlineAtWallMs: this.options.clock.wallMs() + timeoutMs,
+      deadlineAtMs: startedAtMs - readDelayMs + timeoutMs,
+      deadlineAtWallMs: this.options.clock.wallMs() - readDelayMs + timeoutMs,
       signal: caller.signal,
       mayForward: true,
       mayWait: true,
@@ -152,10 +155,16 @@
   }
 
   private async execute(work: WorkRequest): Promise<WorkResult> {
+    if (work.deadlineAtMs <= this.options.clock.monotonicMs()) return this.refuseLate(work);
     if (!work.isOrder) return this.options.runner.run(work);
     return toWorkResult(await this.options.orders.handleOrder(toOrderRequest(work)));
   }
 
+  /** The caller may have repeated an order elsewhere meanwhile, where it may have run. */
+  private refuseLate(work: WorkRequest): WorkResult {
+    return work.isOrder ? { kind: 'unknown', code: 'timeout' } : this.refuse('deadline-passed');
+  }
+
   /** Refuses a request whose body has not been read; the connection ends with the answer. */
   private refuseUnread(response: ServerResponse, code: string): void {
     response.setHeader('connection', 'close');
--- a/packages/entryDaemon/src/constants.ts
+++ b/packages/entryDaemon/src/constants.ts
@@ -43,6 +43,9 @@
 /** An event loop gap above this counts as a pause of the process. */
 export const PAUSE_THRESHOLD_MS = 500;
 
+/** Time after a pause within which requests that arrived during it may still be read. */
+export const READ_BACKLOG_MS = 500;
+
 /** How often the daemon refreshes rights, connections and probes. */
 export const MAINTENANCE_INTERVAL_MS = 100;
 
--- a/packages/entryDaemon/src/entryDaemon.ts
+++ b/packages/entryDaemon/src/entryDaemon.ts
@@ -45,6 +45,7 @@
 import { MemberSession } from './memberSession.js';
 import { OrderService } from './orderService.js';
 import { PeerForwarder } from './peerForwarder.js';
+import { ReadDelay } from './readDelay.js';
 import { RequestRunner } from './requestRunner.js';
 import type { ReachablePeer } from './requestRunner.js';
 import { createSendGate } from './sendGate.js';
@@ -122,7 +123,7 @@
 
   private requestCount = 0;
 
-  private lastTickMs: number;
+  private readonly readDelay: ReadDelay;
 
   private readonly startedAtMs: number;
 
@@ -136,9 +137,9 @@
 
   private constructor(private readonly options: EntryDaemonOptions) {
     const { clock, random, settings } = options;
-    this.lastTickMs = clock.monotonicMs();
-    this.startedAtMs = this.lastTickMs;
-    this.configurationAtMs = this.lastTickMs;
+    this.readDelay = ReadDelay.create(clock);
+    this.startedAtMs = clock.monotonicMs();
+    this.configurationAtMs = this.startedAtMs;
     this.log = DecisionLog.create({ clock });
     this.invariants = Invariants.create({ clock, log: this.log, metrics: this.metrics });
     this.session = this.createSession();
@@ -210,6 +211,7 @@
       issueTicket: () => this.issueTicket(),
       findService,
       nextRequestId: () => this.nextRequestId(),
+      readDelayMs: () => this.readDelay.possibleMs(),
       isStopping: () => this.isRefusingWork,
     });
   }
@@ -411,9 +413,7 @@
   }
 
   private tick(): void {
-    const nowMs = this.now();
-    const gapMs = nowMs - this.lastTickMs - MAINTENANCE_INTERVAL_MS;
-    this.lastTickMs = nowMs;
+    const gapMs = this.readDelay.tick();
     const isPause = gapMs > PAUSE_THRESHOLD_MS;
     if (isPause)
       this.log.warn(LogComponent.daemon, 'process was paused', { gapMs: Math.round(gapMs) });
--- a/packages/entryDaemon/tests/notRunIsTrue.process.test.ts
+++ b/packages/entryDaemon/tests/notRunIsTrue.process.test.ts
@@ -48,6 +48,27 @@
     }),
   );
 
+  // Guards against old requests in the sockets of a resumed process that count as new ones.
+  proofTest('does not run an order that its caller gave up while the entry daemon was frozen', () =>
+    withDeployment(smallShape(3, 40), async (deployment) => {
+      const ledger = KeyLedger.create(deployment);
+      const all = await createKeys(deployment, HOME, 'given-up', KEYS);
+      const witnessOf = (key: string): string | undefined => key.split('.')[3];
+      const witnessVmId = witnessOf(all[0]!);
+      const keys = all.filter((key) => witnessOf(key) === witnessVmId);
+      // A frozen witness would keep the home from telling that the order was not run.
+      const frozenVmId = OTHERS.find((vmId) => vmId !== witnessVmId)!;
+      await deployment.changeBackend({ kind: 'drain' });
+      const frozen = freezeEntry(deployment, frozenVmId, 5_000);
+      await ledger.sendAll(keys, [frozenVmId], 500);
+      const replies = await ledger.sendAll(keys, [HOME], 500);
+      expect(replies.map(({ outcome }) => outcome)).to.include('not-run');
+      await deployment.changeBackend({ kind: 'undrain' });
+      await frozen;
+      await ledger.expectTrue();
+    }),
+  );
+
   for (const isLogDown of [false, true]) {
     // Guards against a home that sends after its lease, and against requests left in its sockets.
     proofTest(
