--- a/packages/entryDaemon/tests/notRunIsTrue.process.test.ts
+++ b/packages/entryDaemon/tests/notRunIsTrue.process.test.ts
@@ -58,12 +58,12 @@
       const keys = all.filter((key) => witnessOf(key) === witnessVmId);
       // A frozen witness would keep the home from telling that the order was not run.
       const frozenVmId = OTHERS.find((vmId) => vmId !== witnessVmId)!;
-      await deployment.changeBackend({ kind: 'drain' });
       const frozen = freezeEntry(deployment, frozenVmId, 5_000);
       await ledger.sendAll(keys, [frozenVmId], 500);
+      // Nothing can be sent while the ports are closed, so that the home refuses.
+      await deployment.changeBackend({ kind: 'restart', downMs: 1_500 });
       const replies = await ledger.sendAll(keys, [HOME], 500);
       expect(replies.map(({ outcome }) => outcome)).to.include('not-run');
-      await deployment.changeBackend({ kind: 'undrain' });
       await frozen;
       await ledger.expectTrue();
     }),
