--- a/packages/entryDaemon/src/constants.ts
+++ b/packages/entryDaemon/src/constants.ts
@@ -74,9 +74,6 @@
 /** Peers that a request is offered to, one after the other. */
 export const MAX_FORWARDS = 2;
 
-/** Times that a waiting request leaves the queue for a peer; bounds the work of one request. */
-export const MAX_MOVES = 2;
-
 /** Longest wait for a slot between two looks, in milliseconds. */
 export const SLOT_WAIT_MS = 50;
 
--- a/packages/entryDaemon/src/entryDaemon.ts
+++ b/packages/entryDaemon/src/entryDaemon.ts
@@ -367,7 +367,7 @@
       onObservations: (observations, sentAtMs) => this.takeObservations(observations, sentAtMs),
       onLoads: (vmId, loads) => {
         for (const load of loads) {
-          this.slots.findService(load.service)?.reportPeer(vmId, load.freeSlots);
+          this.slots.findService(load.service)?.peers.report(vmId, load.freeSlots);
         }
       },
       fallback: (message, response) => {
@@ -504,7 +504,7 @@
       const { queuedLookups, queuedOrders } = service.queue.stats();
       return create(ServiceLoadSchema, {
         service: service.name,
-        freeSlots: isServing ? service.offeredSlots() : 0,
+        freeSlots: isServing ? service.freeSlots() : 0,
         queued: queuedLookups + queuedOrders,
       });
     });
--- a/packages/entryDaemon/src/forwardServer.ts
+++ b/packages/entryDaemon/src/forwardServer.ts
@@ -97,7 +97,7 @@
       mayWait: message.headers[PeerHeader.mayWait] === '1',
     };
     const result = await this.options.runner.run(work);
-    writeAnswer(response, result, { [PeerHeader.freeSlots]: service.offeredSlots() });
+    writeAnswer(response, result, { [PeerHeader.freeSlots]: service.freeSlots() });
   }
 
   /** A sender that is no member may have lost its lease, and with it the right to its orders. */
--- a/packages/entryDaemon/src/requestRunner.ts
+++ b/packages/entryDaemon/src/requestRunner.ts
@@ -4,10 +4,9 @@
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 import { decideRetry } from '@bronzelift/routing';
-import type { ForwardSelection } from '@bronzelift/routing';
 
 import { spreadRetryAfterMs } from './callerRequest.js';
-import { MAX_ATTEMPTS, MAX_FORWARDS, MAX_MOVES, SLOT_WAIT_MS } from './constants.js';
+import { MAX_ATTEMPTS, MAX_FORWARDS, SLOT_WAIT_MS } from './constants.js';
 import type { ForwardTarget, PeerForwarder } from './peerForwarder.js';
 import type { SendGate } from './sendGate.js';
 import type { ChosenSlot, ServiceRuntime } from './serviceRuntime.js';
@@ -81,52 +80,26 @@
       return this.refuse('not-ready');
     }
     if (!service.hasAvailableInstance) return this.refuse('no-capacity');
-    return hasOwnSlot || !work.mayForward
-      ? this.admit(work, service, guard, work.signal)
-      : this.admitOrMove(work, service, guard);
+    return this.admit(work, service, guard);
   }
 
   private refuse(code: string): WorkResult {
     return { kind: 'not-run', code, retryAfterMs: spreadRetryAfterMs(this.options.random) };
   }
 
-  /** Waits for an own slot, or until a peer reports free ones, whichever comes first. */
-  private async admitOrMove(
-    work: WorkRequest,
-    service: ServiceRuntime,
-    guard: OrderSendGuard,
-  ): Promise<WorkResult> {
-    for (let moves = 0; ; moves++) {
-      const move = new AbortController();
-      const signal = AbortSignal.any([work.signal, move.signal]);
-      const stayHere = moves < MAX_MOVES ? service.addMovable(() => move.abort()) : () => {};
-      const result = await this.admit(work, service, guard, signal, stayHere);
-      stayHere();
-      const hasLeft = result.kind === 'not-run' && result.code === 'cancelled';
-      if (!hasLeft || work.signal.aborted) return result;
-      const forwarded = await this.forward(work, service, guard);
-      if (forwarded) return forwarded;
-    }
-  }
-
   private async admit(
     work: WorkRequest,
     service: ServiceRuntime,
     guard: OrderSendGuard,
-    signal: AbortSignal,
-    onStart?: () => void,
   ): Promise<WorkResult> {
     const admission = await service.queue.admit(
       {
         isOrder: work.isOrder,
         deadlineAtMs: work.deadlineAtMs,
-        signal,
+        signal: work.signal,
         isImmediate: !work.mayForward && !work.mayWait,
       },
-      () => {
-        onStart?.();
-        return this.attemptUntilDone(work, service, guard);
-      },
+      () => this.attemptUntilDone(work, service, guard),
     );
     switch (admission.kind) {
       case 'completed':
@@ -135,7 +108,7 @@
         return { kind: 'unknown', code: 'backend-failed' };
       case 'not-run': {
         const code = admission.code === 'deadline-exceeded' ? 'deadline-passed' : admission.code;
-        this.options.log.info(LogComponent.admit, code === 'cancelled' ? 'left queue' : 'refused', {
+        this.options.log.info(LogComponent.admit, 'refused', {
           request: work.requestId,
           service: work.service,
           code,
@@ -318,8 +291,9 @@
     const excluded = new Set<VmId>();
     const hasNoSlots = service.queue.stats().usableSlots === 0;
     for (let tries = 0; tries < MAX_FORWARDS; tries++) {
-      const selection = this.selectPeer(service, excluded, hasNoSlots);
+      const selection = service.peers.select(excluded);
       if (!selection) return undefined;
+      if (selection.reason === 'unknown-load' && !hasNoSlots) return undefined;
       excluded.add(selection.vmId);
       const peer = this.options.findPeer(selection.vmId);
       if (!peer) continue;
@@ -332,9 +306,7 @@
       });
       service.peers.addForwarded(peer.vmId);
       const { result, freeSlots } = await this.options.forwarder.forward(peer, work, hasNoSlots);
-      // A refusal says more than the count: slots may be free without a connection to use them.
-      if (result.kind === 'not-run') service.reportPeer(peer.vmId, 0);
-      else if (freeSlots !== undefined) service.reportPeer(peer.vmId, freeSlots);
+      if (freeSlots !== undefined) service.peers.report(peer.vmId, freeSlots);
       if (result.kind === 'not-run') {
         guard.provenNotRun();
         if (hasNoSlots && tries === MAX_FORWARDS - 1) return result;
@@ -346,18 +318,6 @@
     return undefined;
   }
 
-  /** A peer that reported free slots, or one whose latest report is too old to be believed. */
-  // eslint-disable-next-line class-methods-use-this -- kept beside its only use
-  private selectPeer(
-    service: ServiceRuntime,
-    excluded: ReadonlySet<VmId>,
-    hasNoSlots: boolean,
-  ): ForwardSelection | undefined {
-    const selection = service.peers.select(excluded);
-    if (selection && (selection.reason !== 'unknown-load' || hasNoSlots)) return selection;
-    return service.peers.selectDoubted(excluded);
-  }
-
   private logRoute(work: WorkRequest, chosen: ChosenSlot): void {
     this.options.log.info(LogComponent.route, 'sent to instance', {
       request: work.requestId,
--- a/packages/entryDaemon/src/serviceRuntime.ts
+++ b/packages/entryDaemon/src/serviceRuntime.ts
@@ -1,6 +1,6 @@
 import { AdmissionQueue } from '@bronzelift/admission';
 import type { BackendAttempt } from '@bronzelift/backend-client';
-import type { Clock, FailureDomainId, RandomSource, VmId } from '@bronzelift/common';
+import type { Clock, FailureDomainId, RandomSource } from '@bronzelift/common';
 import type { ServiceConfiguration } from '@bronzelift/configuration';
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Invariants } from '@bronzelift/observability';
@@ -80,8 +80,6 @@
 
   private waiters: (() => void)[] = [];
 
-  private readonly movable = new Set<() => void>();
-
   private currentConfiguration: ServiceConfiguration;
 
   private constructor(readonly options: ServiceRuntimeOptions) {
@@ -142,13 +140,6 @@
     return this.instances.reduce((sum, one) => sum + one.freeSlots(isOrder), 0);
   }
 
-  /** Slots to report to peers: none while requests wait here, since these come first. */
-  offeredSlots(): number {
-    const { usableSlots, running, queuedOrders, queuedLookups } = this.queue.stats();
-    if (queuedOrders + queuedLookups > 0) return 0;
-    return Math.min(this.freeSlots(), Math.max(0, usableSlots - running));
-  }
-
   /** Whether any instance of the service may take work, wherever its slots are held. */
   get hasAvailableInstance(): boolean {
     return this.instances.some((one) => one.isAvailable);
@@ -181,25 +172,6 @@
     });
   }
 
-  /** Notes a waiting request that may go to a peer instead; returns how to take it back. */
-  addMovable(move: () => void): () => void {
-    this.movable.add(move);
-    return () => {
-      this.movable.delete(move);
-    };
-  }
-
-  /** Takes a peer's report, and moves waiting requests there when it has free slots. */
-  reportPeer(vmId: VmId, freeSlots: number): void {
-    this.peers.report(vmId, freeSlots);
-    // Other members hear the same report, so that half of the slots are left to them.
-    const moves = [...this.movable].slice(0, Math.ceil(freeSlots / 2));
-    for (const move of moves) {
-      this.movable.delete(move);
-      move();
-    }
-  }
-
   /** Wakes requests that wait for a slot. */
   wake(): void {
     if (this.waiters.length === 0) return;
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -88,11 +88,5 @@
 /** A peer's report loses its weight in a straight line over this time; heartbeats take 500 ms. */
 export const REPORT_LIFETIME_MS = 2_000;
 
-/**
- * A report of no free slots is doubted after this time: slots turn over faster than the heartbeat
- * of 500 ms. One request looks then; the peer refuses it within a hop when it is still busy.
- */
-export const DOUBTED_REPORT_MS = 100;
-
 /** Part of the remaining time kept back for each further hop, to carry the response. */
 export const HOP_MARGIN_MS = 3;
--- a/packages/routing/src/forwardSelector.ts
+++ b/packages/routing/src/forwardSelector.ts
@@ -1,6 +1,6 @@
 import type { Clock, FailureDomainId, RandomSource, VmId } from '@bronzelift/common';
 
-import { DOUBTED_REPORT_MS, REPORT_LIFETIME_MS } from './constants.js';
+import { REPORT_LIFETIME_MS } from './constants.js';
 import type { ForwardPeer, ForwardSelection } from './types.js';
 import { pickByTwoChoices } from './utils.js';
 
@@ -9,7 +9,6 @@
   reportedFreeSlots: number;
   reportedAtMs: number;
   sentSinceReport: number;
-  lastSentAtMs: number;
 }
 
 /** Parameters of the choice of peer for one service. */
@@ -40,7 +39,6 @@
           reportedFreeSlots: 0,
           reportedAtMs: -Infinity,
           sentSinceReport: 0,
-          lastSentAtMs: -Infinity,
           ...known.get(peer.vmId),
           peer,
         },
@@ -60,9 +58,7 @@
   /** Notes that a request was forwarded to a peer. */
   addForwarded(vmId: VmId): void {
     const state = this.states.get(vmId);
-    if (state === undefined) return;
-    state.sentSinceReport += 1;
-    state.lastSentAtMs = this.options.clock.monotonicMs();
+    if (state !== undefined) state.sentSinceReport += 1;
   }
 
   /** Chooses a peer; undefined when all that may be chosen reported no free slots. */
@@ -81,16 +77,6 @@
     );
   }
 
-  /** Chooses a peer that is worth a look because its latest news is old; undefined for none. */
-  selectDoubted(excluded: ReadonlySet<VmId>): ForwardSelection | undefined {
-    const nowMs = this.options.clock.monotonicMs();
-    const doubted = [...this.states.values()].filter(({ peer, reportedAtMs, lastSentAtMs }) => {
-      const newsAtMs = Math.max(reportedAtMs, lastSentAtMs);
-      return !excluded.has(peer.vmId) && nowMs - newsAtMs >= DOUBTED_REPORT_MS;
-    });
-    return this.pick(doubted, 'doubted-report');
-  }
-
   private pick(
     states: readonly PeerState[],
     reason: ForwardSelection['reason'],
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -94,7 +94,7 @@
   readonly vmId: VmId;
   /** Reported free slots less what was sent since; 0 when nothing recent was reported. */
   readonly estimatedFreeSlots: number;
-  readonly reason: 'same-domain' | 'other-domain' | 'unknown-load' | 'doubted-report';
+  readonly reason: 'same-domain' | 'other-domain' | 'unknown-load';
 }
 
 /** End of an attempt as far as retries are concerned; matches `BackendAttempt`. */
--- a/packages/routing/tests/forwardSelector.test.ts
+++ b/packages/routing/tests/forwardSelector.test.ts
@@ -86,19 +86,6 @@
     expect(selector.select(none)).to.deep.include({ vmId: 'vm1', estimatedFreeSlots: 3 });
   });
 
-  it('doubts a report of no free slots by one request at a time, so that busy peers are not flooded', () => {
-    const { clock, selector } = createSelector(['b', 'b']);
-    selector.report('vm0', 0);
-    clock.advance(99);
-    selector.report('vm1', 0);
-    expect(selector.selectDoubted(none)).to.equal(undefined);
-    clock.advance(1);
-    expect(selector.selectDoubted(none)).to.deep.include({ vmId: 'vm0', reason: 'doubted-report' });
-    expect(selector.selectDoubted(new Set(['vm0']))).to.equal(undefined);
-    selector.addForwarded('vm0');
-    expect(selector.selectDoubted(none)).to.equal(undefined);
-  });
-
   it('keeps reports when the list of peers changes, and forgets peers that left', () => {
     const { selector } = createSelector(['a', 'b']);
     selector.report('vm1', 2);
