--- a/packages/entryDaemon/src/requestRunner.ts
+++ b/packages/entryDaemon/src/requestRunner.ts
@@ -4,10 +4,9 @@
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 import { decideRetry } from '@bronzelift/routing';
-import type { ForwardSelection } from '@bronzelift/routing';
 
 import { spreadRetryAfterMs } from './callerRequest.js';
-import { MAX_ATTEMPTS, MAX_FORWARDS, MAX_MOVES, SLOT_WAIT_MS } from './constants.js';
+import { MAX_ATTEMPTS, MAX_FORWARDS, SLOT_WAIT_MS } from './constants.js';
 import type { ForwardTarget, PeerForwarder } from './peerForwarder.js';
 import type { SendGate } from './sendGate.js';
 import type { ChosenSlot, ServiceRuntime } from './serviceRuntime.js';
@@ -81,12 +80,8 @@
       return this.refuse('not-ready');
     }
     if (!service.hasAvailableInstance) return this.refuse('no-capacity');
-    if (!work.mayForward) return this.admit(work, service, guard, work.signal);
-    const runHere = (own: WorkRequest): Promise<WorkResult> =>
-      hasOwnSlot
-        ? this.admit(own, service, guard, own.signal)
-        : this.admitOrMove(own, service, guard);
-    return work.isOrder ? runHere(work) : this.runWithSpillover(work, service, runHere);
+    if (work.isOrder || !work.mayForward) return this.admit(work, service, guard);
+    return this.runWithSpillover(work, service);
   }
 
   private refuse(code: string): WorkResult {
@@ -98,16 +93,12 @@
    * retry budget. All connections to a domain can go silent at once, and a silent one would take all
    * of the time; the first run goes on because its request may just be a long one.
    */
-  private async runWithSpillover(
-    work: WorkRequest,
-    service: ServiceRuntime,
-    runHere: (own: WorkRequest) => Promise<WorkResult>,
-  ): Promise<WorkResult> {
+  private async runWithSpillover(work: WorkRequest, service: ServiceRuntime): Promise<WorkResult> {
     const localAbort = new AbortController();
     const peerAbort = new AbortController();
     const signalWith = ({ signal }: AbortController): AbortSignal =>
       AbortSignal.any([work.signal, signal]);
-    const local = runHere({ ...work, signal: signalWith(localAbort) });
+    const local = this.admit({ ...work, signal: signalWith(localAbort) }, service, NEVER_SENT);
     const halfMs = (work.deadlineAtMs - this.options.clock.monotonicMs()) / 2;
     if (await this.settlesWithin(local, halfMs)) return local;
     if (!service.retries.take()) return local;
@@ -129,43 +120,19 @@
     );
   }
 
-  /** Waits for an own slot, or until a peer reports free ones, whichever comes first. */
-  private async admitOrMove(
-    work: WorkRequest,
-    service: ServiceRuntime,
-    guard: OrderSendGuard,
-  ): Promise<WorkResult> {
-    for (let moves = 0; ; moves++) {
-      const move = new AbortController();
-      const signal = AbortSignal.any([work.signal, move.signal]);
-      const stayHere = moves < MAX_MOVES ? service.addMovable(() => move.abort()) : () => {};
-      const result = await this.admit(work, service, guard, signal, stayHere);
-      stayHere();
-      const hasLeft = result.kind === 'not-run' && result.code === 'cancelled';
-      if (!hasLeft || work.signal.aborted) return result;
-      const forwarded = await this.forward(work, service, guard);
-      if (forwarded) return forwarded;
-    }
-  }
-
   private async admit(
     work: WorkRequest,
     service: ServiceRuntime,
     guard: OrderSendGuard,
-    signal: AbortSignal,
-    onStart?: () => void,
   ): Promise<WorkResult> {
     const admission = await service.queue.admit(
       {
         isOrder: work.isOrder,
         deadlineAtMs: work.deadlineAtMs,
-        signal,
+        signal: work.signal,
         isImmediate: !work.mayForward && !work.mayWait,
       },
-      () => {
-        onStart?.();
-        return this.attemptUntilDone(work, service, guard);
-      },
+      () => this.attemptUntilDone(work, service, guard),
     );
     switch (admission.kind) {
       case 'completed':
@@ -174,7 +141,7 @@
         return { kind: 'unknown', code: 'backend-failed' };
       case 'not-run': {
         const code = admission.code === 'deadline-exceeded' ? 'deadline-passed' : admission.code;
-        this.options.log.info(LogComponent.admit, code === 'cancelled' ? 'left queue' : 'refused', {
+        this.options.log.info(LogComponent.admit, 'refused', {
           request: work.requestId,
           service: work.service,
           code,
@@ -357,8 +324,9 @@
     const excluded = new Set<VmId>();
     const hasNoSlots = service.queue.stats().usableSlots === 0;
     for (let tries = 0; tries < MAX_FORWARDS; tries++) {
-      const selection = this.selectPeer(service, excluded, hasNoSlots);
+      const selection = service.peers.select(excluded);
       if (!selection) return undefined;
+      if (selection.reason === 'unknown-load' && !hasNoSlots) return undefined;
       excluded.add(selection.vmId);
       const peer = this.options.findPeer(selection.vmId);
       if (!peer) continue;
@@ -371,9 +339,7 @@
       });
       service.peers.addForwarded(peer.vmId);
       const { result, freeSlots } = await this.options.forwarder.forward(peer, work, hasNoSlots);
-      // A refusal says more than the count: slots may be free without a connection to use them.
-      if (result.kind === 'not-run') service.reportPeer(peer.vmId, 0);
-      else if (freeSlots !== undefined) service.reportPeer(peer.vmId, freeSlots);
+      if (freeSlots !== undefined) service.peers.report(peer.vmId, freeSlots);
       if (result.kind === 'not-run') {
         guard.provenNotRun();
         if (hasNoSlots && tries === MAX_FORWARDS - 1) return result;
@@ -385,18 +351,6 @@
     return undefined;
   }
 
-  /** A peer that reported free slots, or one whose latest report is too old to be believed. */
-  // eslint-disable-next-line class-methods-use-this -- kept beside its only use
-  private selectPeer(
-    service: ServiceRuntime,
-    excluded: ReadonlySet<VmId>,
-    hasNoSlots: boolean,
-  ): ForwardSelection | undefined {
-    const selection = service.peers.select(excluded);
-    if (selection && (selection.reason !== 'unknown-load' || hasNoSlots)) return selection;
-    return service.peers.selectDoubted(excluded);
-  }
-
   private logRoute(work: WorkRequest, chosen: ChosenSlot): void {
     this.options.log.info(LogComponent.route, 'sent to instance', {
       request: work.requestId,
