Halve the allowance on slow responses instead of treating the instance as cold

Cause: two responses of more than three times the usual latency made an instance cold for all entry VMs. Ruled out: comparing with the median of the service, which would hide a cold start of all instances. Change: from the second slow response on each one halves the allowance at the entry VM that sees it; a cold report, a refusal for overload and another boot id still lead to coldSlots at once and are told to the peers. The daemon's status and the heartbeat reports move to modules of their own.

--- a/packages/entryDaemon/src/controlPlane.ts
+++ b/packages/entryDaemon/src/controlPlane.ts
@@ -74,6 +74,12 @@
     return this.reader.state;
   }
 
+  /** Milliseconds since the last complete read began; undefined before the first. */
+  logAgeMs(): number | undefined {
+    const startedAtMs = this.reader.lastReadStartedAtMs;
+    return startedAtMs === undefined ? undefined : this.options.clock.monotonicMs() - startedAtMs;
+  }
+
   /** Starts reading the log. */
   start(): void {
     this.reader.start();
--- /dev/null
+++ b/packages/entryDaemon/src/daemonStatus.ts
@@ -0,0 +1,91 @@
+import type { Clock } from '@bronzelift/common';
+import type { DecisionLog, Invariants } from '@bronzelift/observability';
+import { Phase } from '@bronzelift/protocol';
+
+import type { ControlPlane } from './controlPlane.js';
+import type { MemberSession } from './memberSession.js';
+import type { OrderService } from './orderService.js';
+import type { SlotDirectory } from './slotDirectory.js';
+
+const MS_PER_S = 1_000;
+
+/** Parts of a daemon that its status is made of. */
+export interface StatusParts {
+  readonly clock: Clock;
+  readonly startedAtMs: number;
+  readonly configurationAtMs: number;
+  readonly phase: Phase;
+  readonly session: MemberSession;
+  readonly control: ControlPlane;
+  readonly slots: SlotDirectory;
+  readonly orders: OrderService;
+  readonly invariants: Invariants;
+  readonly log: DecisionLog;
+}
+
+/** Backend milliseconds per second spent on measuring load; mean since the start. */
+const calculateProbeSpending = ({ clock, slots, startedAtMs }: StatusParts): number => {
+  const spentMs = slots.allInstances().reduce((sum, one) => sum + one.probeSpentMs, 0);
+  return (spentMs * MS_PER_S) / Math.max(1, clock.monotonicMs() - startedAtMs);
+};
+
+const describeMembership = (parts: StatusParts): Record<string, unknown> => {
+  const { lease, self } = parts.session;
+  return {
+    vmId: self.vmId,
+    incarnation: self.incarnation,
+    failureDomainId: self.failureDomainId,
+    phase: Phase[parts.phase].toLowerCase(),
+    isReady: parts.phase === Phase.SERVING && lease.isLeaseHeld(),
+    epoch: lease.epoch,
+    members: parts.control.state.members.length,
+    leaseHeld: lease.isLeaseHeld(),
+    leaseRemainingMs: lease.leaseRemainingMs(),
+    freshnessRemainingMs: lease.freshnessRemainingMs(),
+    isSettled: lease.isSettled(),
+  };
+};
+
+const describeControl = ({
+  clock,
+  control,
+  configurationAtMs,
+}: StatusParts): Record<string, unknown> => {
+  const { state } = control;
+  return {
+    configurationVersion: state.configurationVersion,
+    configurationAgeMs: clock.monotonicMs() - configurationAtMs,
+    drainRevision: state.drainRevision,
+    takenOut: state.takenOut,
+    logAgeMs: control.logAgeMs() ?? null,
+  };
+};
+
+const describeWork = (parts: StatusParts): Record<string, unknown> => {
+  const instances = parts.slots.allInstances();
+  return {
+    slotsHeld: instances.reduce((sum, one) => sum + one.heldCount, 0),
+    slotsInUse: instances.reduce((sum, one) => sum + one.inUseCount, 0),
+    probeSpendingMsPerS: calculateProbeSpending(parts),
+    services: parts.slots.allServices().map((service) => ({
+      service: service.name,
+      ...service.queue.stats(),
+      freeSlots: service.freeSlots(),
+    })),
+    instances: instances.map((one) => one.status()),
+    orders: parts.orders.coordinator.stats(),
+  };
+};
+
+/** State of an entry daemon for `/status` on its admin port. */
+export const createDaemonStatus = (parts: StatusParts): Record<string, unknown> => {
+  const violations = parts.invariants.snapshot();
+  return {
+    ...describeMembership(parts),
+    ...describeControl(parts),
+    ...describeWork(parts),
+    violations: violations.counts,
+    latestViolations: violations.latest,
+    logLines: parts.log.counts(),
+  };
+};
--- a/packages/entryDaemon/src/entryDaemon.ts
+++ b/packages/entryDaemon/src/entryDaemon.ts
@@ -29,26 +29,24 @@
   LogComponent,
   Metrics,
 } from '@bronzelift/observability';
-import { InstanceObservationSchema, Phase, ServiceLoadSchema } from '@bronzelift/protocol';
-import type { InstanceObservation, ServiceLoad } from '@bronzelift/protocol';
+import { Phase } from '@bronzelift/protocol';
 import type { EntrySettings } from '@bronzelift/settings';
-import { create } from '@bufbuild/protobuf';
 
 import { createAdminServer } from './adminServer.js';
 import { CallerServer } from './callerServer.js';
 import {
-  COLD_NOTICE_MS,
   LEAVE_LIMIT_MS,
   MAINTENANCE_INTERVAL_MS,
   KEEP_ALIVE_MS,
   MAX_HEADER_BYTES,
-  MAX_OBSERVATION_AGE_MS,
   PAUSE_THRESHOLD_MS,
   SHUTDOWN_DRAIN_LIMIT_MS,
   SHUTDOWN_EXTRA_MS,
 } from './constants.js';
 import { ControlPlane } from './controlPlane.js';
 import { ForwardServer } from './forwardServer.js';
+import { createDaemonStatus } from './daemonStatus.js';
+import { InstanceReports } from './instanceReports.js';
 import { MemberSession } from './memberSession.js';
 import { OrderService } from './orderService.js';
 import { PeerForwarder } from './peerForwarder.js';
@@ -59,8 +57,6 @@
 import { SlotDirectory } from './slotDirectory.js';
 import type { EpochState } from './slotDirectory.js';
 
-const MS_PER_S = 1_000;
-
 /** What a daemon takes from its process. */
 export interface EntryDaemonOptions {
   readonly settings: EntrySettings;
@@ -77,19 +73,6 @@
   }
 };
 
-const createObservation = (
-  instanceId: InstanceId,
-  allowance: number,
-  ageMs: number,
-  cold = false,
-): InstanceObservation =>
-  create(InstanceObservationSchema, {
-    instanceId,
-    allowance,
-    ageMs: Math.ceil(Math.min(ageMs, MAX_OBSERVATION_AGE_MS)),
-    cold,
-  });
-
 /** The entry daemon: servers, request path, membership and control plane of one entry VM. */
 export class EntryDaemon {
   readonly log: DecisionLog;
@@ -102,6 +85,8 @@
 
   private readonly slots: SlotDirectory;
 
+  private readonly reports: InstanceReports;
+
   private readonly runner: RequestRunner;
 
   private readonly forwarder: PeerForwarder;
@@ -142,8 +127,6 @@
 
   private configurationAtMs: number;
 
-  private readonly coldSeenAtMs = new Map<InstanceId, number>();
-
   private readonly stopping = new AbortController();
 
   private constructor(private readonly options: EntryDaemonOptions) {
@@ -169,6 +152,7 @@
       currentLease: () => this.session.lease,
       onCold: (instanceId, reason) => this.noteCold(instanceId, reason),
     });
+    this.reports = InstanceReports.create(clock, this.slots);
     this.control = ControlPlane.create({
       clock,
       random,
@@ -310,52 +294,18 @@
 
   /** State for the admin port. */
   status(): Record<string, unknown> {
-    const { state } = this.control;
-    const { lease, self } = this.session;
-    const instances = this.slots.allInstances();
-    const violations = this.invariants.snapshot();
-    return {
-      vmId: self.vmId,
-      incarnation: self.incarnation,
-      failureDomainId: self.failureDomainId,
-      phase: Phase[this.phase].toLowerCase(),
-      isReady: this.phase === Phase.SERVING && lease.isLeaseHeld(),
-      configurationVersion: state.configurationVersion,
-      configurationAgeMs: this.now() - this.configurationAtMs,
-      drainRevision: state.drainRevision,
-      takenOut: state.takenOut,
-      logAgeMs: this.logAgeMs() ?? null,
-      epoch: lease.epoch,
-      members: state.members.length,
-      leaseHeld: lease.isLeaseHeld(),
-      leaseRemainingMs: lease.leaseRemainingMs(),
-      freshnessRemainingMs: lease.freshnessRemainingMs(),
-      isSettled: lease.isSettled(),
-      slotsHeld: instances.reduce((sum, one) => sum + one.heldCount, 0),
-      slotsInUse: instances.reduce((sum, one) => sum + one.inUseCount, 0),
-      probeSpendingMsPerS: this.probeSpendingMsPerS(),
-      services: this.slots.allServices().map((service) => ({
-        service: service.name,
-        ...service.queue.stats(),
-        freeSlots: service.freeSlots(),
-      })),
-      instances: instances.map((one) => one.status()),
-      orders: this.orders.coordinator.stats(),
-      violations: violations.counts,
-      latestViolations: violations.latest,
-      logLines: this.log.counts(),
-    };
-  }
-
-  private logAgeMs(): number | undefined {
-    const lastReadMs = this.control.reader.lastReadStartedAtMs;
-    return lastReadMs === undefined ? undefined : this.now() - lastReadMs;
-  }
-
-  /** Mean since the start. */
-  private probeSpendingMsPerS(): number {
-    const spentMs = this.slots.allInstances().reduce((sum, one) => sum + one.probeSpentMs, 0);
-    return (spentMs * MS_PER_S) / Math.max(1, this.now() - this.startedAtMs);
+    return createDaemonStatus({
+      clock: this.options.clock,
+      startedAtMs: this.startedAtMs,
+      configurationAtMs: this.configurationAtMs,
+      phase: this.phase,
+      session: this.session,
+      control: this.control,
+      slots: this.slots,
+      orders: this.orders,
+      invariants: this.invariants,
+      log: this.log,
+    });
   }
 
   private now(): number {
@@ -384,11 +334,11 @@
       controlState: () => this.control.state,
       stateJson: () => encodeState(this.control.state),
       phase: () => this.phase,
-      logAgeMs: () => this.logAgeMs() ?? this.now() - this.startedAtMs,
-      serviceLoads: () => this.serviceLoads(),
-      observations: () => this.observations(),
+      logAgeMs: () => this.control.logAgeMs() ?? this.now() - this.startedAtMs,
+      serviceLoads: () => this.reports.serviceLoads(this.phase === Phase.SERVING),
+      observations: () => this.reports.observations(),
       onPeerState: (json) => this.takePeerState(json),
-      onObservations: (observations, sentAtMs) => this.takeObservations(observations, sentAtMs),
+      onObservations: (observations, sentAtMs) => this.reports.take(observations, sentAtMs),
       onLoads: (vmId, loads) => {
         for (const load of loads) {
           this.slots.findService(load.service)?.peers.report(vmId, load.freeSlots);
@@ -521,52 +471,9 @@
     this.control.reader.adoptPeerState(decoded.val);
   }
 
-  private serviceLoads(): ServiceLoad[] {
-    const isServing = this.phase === Phase.SERVING;
-    return this.slots.allServices().map((service) => {
-      const { queuedLookups, queuedOrders } = service.queue.stats();
-      return create(ServiceLoadSchema, {
-        service: service.name,
-        freeSlots: isServing ? service.freeSlots() : 0,
-        queued: queuedLookups + queuedOrders,
-      });
-    });
-  }
-
-  /** Allowances of owned instances, and instances that were lately seen cold. */
-  private observations(): InstanceObservation[] {
-    const owned = this.slots
-      .allInstances()
-      .filter(({ id }) => this.slots.isOwner(id))
-      .map(({ id, allowance }) => createObservation(id, allowance.allowed, allowance.ageMs()))
-      .filter(({ ageMs }) => ageMs < MAX_OBSERVATION_AGE_MS);
-    const nowMs = this.now();
-    for (const [id, seenAtMs] of this.coldSeenAtMs) {
-      if (nowMs - seenAtMs > COLD_NOTICE_MS) this.coldSeenAtMs.delete(id);
-    }
-    const cold = [...this.coldSeenAtMs].map(([id, seenAtMs]) =>
-      createObservation(id, 0, nowMs - seenAtMs, true),
-    );
-    return [...owned, ...cold];
-  }
-
-  private takeObservations(
-    observations: readonly InstanceObservation[],
-    sentAtMs: number | undefined,
-  ): void {
-    for (const { instanceId, allowance, ageMs, cold } of observations) {
-      const runtime = this.slots.findInstance(instanceId);
-      if (!runtime) continue;
-      if (cold) runtime.allowance.recordPeerCold(this.now() - ageMs);
-      else if (sentAtMs !== undefined) {
-        runtime.allowance.recordOwnerReport({ allowance, observedAtMs: sentAtMs - ageMs });
-      }
-    }
-  }
-
   private noteCold(instanceId: InstanceId, reason: string): void {
     this.log.info(LogComponent.slots, 'instance is cold', { instance: instanceId, reason });
-    this.coldSeenAtMs.set(instanceId, this.now());
+    this.reports.noteCold(instanceId);
     this.slots.refresh();
     this.session.heartbeats.sendNow();
   }
--- a/packages/entryDaemon/src/instanceRuntime.ts
+++ b/packages/entryDaemon/src/instanceRuntime.ts
@@ -332,7 +332,7 @@
       isOverloadRefusal: attempt.kind === 'refused' && load.state !== 'draining',
     });
     if (change.coldReason) this.options.onCold(this.id, change.coldReason);
-    if (change.isRaised || change.coldReason) this.options.onChange();
+    if (change.isRaised || change.isHalved || change.coldReason) this.options.onChange();
   }
 
   private noteLoad(load: ReportedLoad): void {
--- a/packages/slots/src/instanceAllowance.ts
+++ b/packages/slots/src/instanceAllowance.ts
@@ -31,6 +31,8 @@
   readonly coldReason?: ColdReason;
   /** True when the allowance rose. */
   readonly isRaised: boolean;
+  /** True when the allowance was halved because responses are slow. */
+  readonly isHalved?: boolean;
 }
 
 const UNCHANGED: AllowanceChange = { isRaised: false };
@@ -140,8 +142,9 @@
     const tracked = this.connections.get(connection);
     if (!tracked) return UNCHANGED;
     const pace = this.paceOf(tracked, response);
-    const coldReason = this.findColdReason(response, pace);
+    const coldReason = this.findColdReason(response);
     if (coldReason) return this.goCold(connection, response, coldReason);
+    if (pace === 'slow-series') return this.halve();
     this.recognize(connection, tracked, response);
     if (!this.isProven(this.connections.get(connection)!)) return UNCHANGED;
     this.knownBootId = response.bootId ?? this.knownBootId;
@@ -210,12 +213,25 @@
     return this.usualLatency.observe(response.latencyMs, isWarm);
   }
 
-  private findColdReason(response: InstanceResponse, pace: Pace): ColdReason | undefined {
+  private findColdReason(response: InstanceResponse): ColdReason | undefined {
     if (response.isCold) return 'cold-report';
     if (response.isOverloadRefusal) return 'overload-refusal';
     const bootId = response.bootId ?? this.knownBootId;
     if (this.knownBootId !== undefined && bootId !== this.knownBootId) return 'new-boot-id';
-    return pace === 'slow-series' ? 'slow' : undefined;
+    return undefined;
+  }
+
+  /**
+   * A cold instance stays slow, so that the allowance reaches coldSlots within a few responses. A
+   * noisy neighbour slows many instances for a moment; taking all of them for cold at once would
+   * leave a fraction of the capacity for seconds.
+   */
+  private halve(): AllowanceChange {
+    const wasRaised = this.isRaisedOrSuspended();
+    this.allowance = Math.max(this.coldAllowance, Math.floor(this.allowance / 2));
+    this.answers = 0;
+    this.suspended = undefined;
+    return wasRaised ? { isRaised: false, isHalved: true } : UNCHANGED;
   }
 
   private goCold(
--- a/packages/slots/src/types.ts
+++ b/packages/slots/src/types.ts
@@ -30,7 +30,7 @@
 
 /** Why an allowance fell to coldSlots. */
 export type ColdReason =
-  'cold-report' | 'overload-refusal' | 'slow' | 'closed' | 'new-boot-id' | 'peer-report';
+  'cold-report' | 'overload-refusal' | 'closed' | 'new-boot-id' | 'peer-report';
 
 /** A response of an instance, as far as it says something about its load. */
 export interface InstanceResponse {
