--- a/packages/entryDaemon/src/entryDaemon.ts
+++ b/packages/entryDaemon/src/entryDaemon.ts
@@ -20,6 +20,7 @@
   SILENT_MS,
   VmListReader,
   formatTicket,
+  readVmList,
 } from '@bronzelift/membership';
 import type { RosterMember } from '@bronzelift/membership';
 import {
@@ -237,6 +238,7 @@
     await this.heartbeatSocket.bind(settings.peer);
     await listen(this.adminServer, settings.admin, 'open admin port');
     await listen(this.callers.server, settings.caller, 'open caller port');
+    await this.checkFailureDomain();
     this.control.start();
     this.vmList = VmListReader.start({
       endpoint: settings.vmList.address,
@@ -356,6 +358,16 @@
     });
   }
 
+  /** A wrong failure domain would misplace slots and witnesses; an unreachable list is no proof. */
+  private async checkFailureDomain(): Promise<void> {
+    const { entry, vmList } = this.options.settings;
+    const list = await readVmList(vmList.address).catch(() => undefined);
+    const listed = list?.vms.find(({ vmId }) => vmId === entry.vmId);
+    if (!listed || listed.failureDomainId === entry.failureDomainId) return;
+    const detail = `settings say ${entry.failureDomainId}, the VM list says ${listed.failureDomainId}`;
+    throw StepError.create('check failure domain', formatEndpoint(vmList.address), detail);
+  }
+
   private async handlePeerRequest(
     message: IncomingMessage,
     response: ServerResponse,
--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -26,7 +26,7 @@
 
 const listenSchema = z.strictObject({
   host: hostSchema(),
-  port: wholeNumber(0, MAX_PORT, 'the TCP port (0 picks a free one)'),
+  port: wholeNumber(1, MAX_PORT, 'the TCP port'),
 });
 
 const { log, vmList } = SETTINGS_DEFAULTS;
--- a/packages/settings/tests/settings.test.ts
+++ b/packages/settings/tests/settings.test.ts
@@ -46,8 +46,8 @@
       .concat('[cache]\nsize = 1\n');
     expect(describeProblems(text)).to.deep.equal([
       'entryd.ini:3: [entry] colour: expected a known key',
-      'entryd.ini:11: [peer] port: expected a whole number of the TCP port (0 picks a free one) ' +
-        'from 0 to 65535, found "80x"',
+      'entryd.ini:11: [peer] port: expected a whole number of the TCP port from 1 to 65535, ' +
+        'found "80x"',
       'entryd.ini:16: [log] address: expected a numeric address and port such as ' +
         '127.0.0.1:4100, found "localhost:4100"',
       'entryd.ini:18: [log] read_wait_ms: expected a key once; it is already on line 17',
