Apply changed limits of a service to its known instances

Cause: an instance took cold_slots, warmup_answers and the probe budget from its service when it was first configured and kept them through later files, found while reading the change. Change: an instance whose limits changed is created anew; other settings of the service leave its connections alone. Ruled out: changing the limits in place, because the allowance would then rest on observations under other limits.

--- a/packages/entryDaemon/src/instanceRuntime.ts
+++ b/packages/entryDaemon/src/instanceRuntime.ts
@@ -29,6 +29,8 @@
   readonly clock: Clock;
   readonly instance: InstanceConfiguration;
   readonly service: ServiceConfiguration;
+  /** Tells these settings from others of the same instance. */
+  readonly settingsKey: string;
   readonly invariants: Invariants;
   /** The instance was found cold; peers have to hear of it. */
   readonly onCold: (instanceId: string, reason: string) => void;
@@ -114,6 +116,11 @@
     return this.options.instance.failureDomainId;
   }
 
+  /** Tells the settings of this object from others of the same instance. */
+  get settingsKey(): string {
+    return this.options.settingsKey;
+  }
+
   /** Settings with which this object was created. */
   get configuration(): InstanceConfiguration {
     return this.options.instance;
--- a/packages/entryDaemon/src/slotDirectory.ts
+++ b/packages/entryDaemon/src/slotDirectory.ts
@@ -1,5 +1,5 @@
 import type { Clock, FailureDomainId, InstanceId, RandomSource, VmId } from '@bronzelift/common';
-import type { Configuration } from '@bronzelift/configuration';
+import type { Configuration, ServiceConfiguration } from '@bronzelift/configuration';
 import type { ControlState, RosterMember } from '@bronzelift/control-log';
 import type { MemberLease } from '@bronzelift/membership';
 import { LogComponent } from '@bronzelift/observability';
@@ -28,10 +28,11 @@
 
 type HeldSlots = ReadonlyMap<InstanceId, readonly number[]>;
 
-const isSameInstance = (
-  left: Configuration['instances'][number],
-  right: Configuration['instances'][number],
-): boolean => JSON.stringify(left) === JSON.stringify(right);
+/** Settings that an instance takes from its service when it is created. */
+const createInstanceKey = (
+  instance: Configuration['instances'][number],
+  { coldSlots, warmupAnswers, probeBudgetMsPerS }: ServiceConfiguration,
+): string => JSON.stringify([instance, coldSlots, warmupAnswers, probeBudgetMsPerS]);
 
 /** Services, instances and the slots that this entry VM holds of them. */
 export class SlotDirectory {
@@ -232,7 +233,9 @@
     const listed = new Map(configuration.instances.map((instance) => [instance.id, instance]));
     for (const [id, runtime] of this.instances) {
       const instance = listed.get(id);
-      if (instance && isSameInstance(instance, runtime.configuration)) continue;
+      const service = instance && services.get(instance.service);
+      const isSame = service && createInstanceKey(instance, service) === runtime.settingsKey;
+      if (isSame) continue;
       runtime.retire();
       this.instances.delete(id);
     }
@@ -242,6 +245,7 @@
         clock: this.options.clock,
         instance,
         service: services.get(instance.service)!,
+        settingsKey: createInstanceKey(instance, services.get(instance.service)!),
         invariants: this.options.invariants,
         onCold: this.options.onCold,
         onChange: () => this.services.get(instance.service)?.wake(),
