Take the ports of local deployments from below the outgoing range

Ruled out: port 0, because the roster has to name the ports before the start. Change: random ports from 12,000 to 32,000, none twice in one process.

--- a/packages/localDeployment/src/constants.ts
+++ b/packages/localDeployment/src/constants.ts
@@ -9,6 +9,9 @@
 /** Host of all processes. */
 export const LOOPBACK = '127.0.0.1';
 
+/** Ports for processes; Linux takes those of outgoing connections from 32768 up. */
+export const PORT_RANGE = { first: 12_000, last: 32_000 } as const;
+
 /** The two deployments of the design page, in full and at a small size for demonstrations. */
 export const SHAPES = {
   mantelmaat: {
--- a/packages/localDeployment/src/utils.ts
+++ b/packages/localDeployment/src/utils.ts
@@ -1,31 +1,38 @@
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 
-import { StepError, describeError, sleep } from '@bronzelift/common';
+import { StepError, describeError, randomInteger, sleep, systemRandom } from '@bronzelift/common';
 
-import { LOOPBACK, POLL_INTERVAL_MS } from './constants.js';
+import { LOOPBACK, POLL_INTERVAL_MS, PORT_RANGE } from './constants.js';
 
-/** Reserves ports that are free now; they are released before use. */
+/** Ports handed out by this process, so that two deployments never share one. */
+const handedOut = new Set<number>();
+
+const canListen = async (port: number): Promise<boolean> => {
+  const server = createServer();
+  const isFree = await new Promise<boolean>((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, LOOPBACK, () => resolve(true));
+  });
+  if (isFree)
+    await new Promise<void>((resolve) => {
+      server.close(() => resolve());
+    });
+  return isFree;
+};
+
+/**
+ * Finds ports that are free now. They lie below the range from which the system takes the ports of
+ * outgoing connections, which could otherwise take one before the process that needs it starts.
+ */
 export const findFreePorts = async (count: number): Promise<number[]> => {
-  const servers = Array.from({ length: count }, () => createServer());
-  await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<void>((resolve) => {
-          server.listen(0, LOOPBACK, resolve);
-        }),
-    ),
-  );
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<void>((resolve) => {
-          server.close(() => resolve());
-        }),
-    ),
-  );
-  return ports;
+  const found: number[] = [];
+  while (found.length < count) {
+    const port = randomInteger(systemRandom, PORT_RANGE.first, PORT_RANGE.last);
+    if (handedOut.has(port)) continue;
+    handedOut.add(port);
+    if (await canListen(port)) found.push(port);
+  }
+  return found;
 };
 
 /** Waits until a check holds; rejects after the limit in milliseconds with the last error. */
