Let the operators' client end quietly when its output is closed

Ruled out: a handler in the output module, which help texts do not use. Change: EPIPE on standard output is ignored, any other error still ends the client.

--- a/apps/ctl/src/main.ts
+++ b/apps/ctl/src/main.ts
@@ -1,3 +1,8 @@
 import { runCli } from './cli.js';
 
+// A reader such as `head` may close the output early; what it does not want is dropped.
+process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+  if (error.code !== 'EPIPE') throw error;
+});
+
 process.exitCode = await runCli(process.argv.slice(2));
