--- a/packages/admission/src/admissionQueue.ts
+++ b/packages/admission/src/admissionQueue.ts
@@ -14,6 +14,7 @@
 import { createLanes } from './createLanes.js';
 import { decideAdmission, isLookupHopeless, predictWait } from './decideAdmission.js';
 import { LanePriority } from './laneQueue.js';
+import { RefusalPacer } from './refusalPacer.js';
 import type {
   AdmissionOptions,
   AdmissionRequest,
@@ -23,7 +24,7 @@
   RefusalCode,
   ScheduleTimer,
 } from './types.js';
-import { calculateRetryAfterMs, scheduleTimeout, updateMean } from './utils.js';
+import { scheduleTimeout, updateMean } from './utils.js';
 import { WaitingLists } from './waitingLists.js';
 
 /** Queue of one service for the slots that this entry VM may use; bounded by deadline. */
@@ -46,10 +47,7 @@
 
   private slotsLostAtMs = -Infinity;
 
-  /** Time that the slots need for all recently refused requests. */
-  private refusedWorkMs = 0;
-
-  private refusedWorkAtMs = 0;
+  private readonly refusals: RefusalPacer;
 
   private lastId = 0;
 
@@ -60,6 +58,7 @@
     this.queue = queue;
     this.waiting = WaitingLists.create(options.maxQueued ?? DEFAULT_MAX_QUEUED);
     this.schedule = options.schedule ?? scheduleTimeout;
+    this.refusals = RefusalPacer.create(options.clock, options.random);
     this.meanServiceTimeMs = options.initialServiceTimeMs ?? DEFAULT_SERVICE_TIME_MS;
     this.owner = {
       now: () => options.clock.monotonicMs(),
@@ -235,12 +234,8 @@
   private createRetryAfterMs(code: RefusalCode, predictedWaitMs: number): number {
     // A caller that went away does not come back; a request that must not wait is tried elsewhere.
     if (code === 'cancelled' || code === 'no-free-slot') return 0;
-    const nowMs = this.owner.now();
-    const elapsedMs = nowMs - this.refusedWorkAtMs;
-    const addedMs = this.meanServiceTimeMs / Math.max(this.usableSlots, 1);
-    this.refusedWorkMs = Math.max(this.refusedWorkMs - elapsedMs, 0) + addedMs;
-    this.refusedWorkAtMs = nowMs;
-    return calculateRetryAfterMs(predictedWaitMs, this.refusedWorkMs, this.options.random);
+    const workMs = this.meanServiceTimeMs / Math.max(this.usableSlots, 1);
+    return this.refusals.refuse(predictedWaitMs, workMs);
   }
 
   private view(): AdmissionView {
--- /dev/null
+++ b/packages/admission/src/refusalPacer.ts
@@ -0,0 +1,33 @@
+import type { Clock, RandomSource } from '@bronzelift/common';
+
+import { calculateRetryAfterMs } from './utils.js';
+
+/**
+ * Chooses when refused callers may come back. It remembers the work that it has sent away, which
+ * drains as time passes, so that callers refused together do not return together.
+ */
+export class RefusalPacer {
+  /** Time that the slots need for all recently refused requests. */
+  private refusedWorkMs = 0;
+
+  private refusedAtMs = 0;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+  ) {}
+
+  /** Creates a pacer that has refused nothing. */
+  static create(clock: Clock, random: RandomSource): RefusalPacer {
+    return new RefusalPacer(clock, random);
+  }
+
+  /** Counts a refused request that takes `workMs` of all slots, and chooses its retry-after. */
+  refuse(predictedWaitMs: number, workMs: number): number {
+    const nowMs = this.clock.monotonicMs();
+    const elapsedMs = nowMs - this.refusedAtMs;
+    this.refusedWorkMs = Math.max(this.refusedWorkMs - elapsedMs, 0) + workMs;
+    this.refusedAtMs = nowMs;
+    return calculateRetryAfterMs(predictedWaitMs, this.refusedWorkMs, this.random);
+  }
+}
--- a/packages/backendClient/src/backendPool.ts
+++ b/packages/backendClient/src/backendPool.ts
@@ -7,6 +7,7 @@
 } from './constants.js';
 import { explainClose, findAnswerProblem } from './judgeAttempt.js';
 import { openSocket } from './openSocket.js';
+import { ownDialect } from './ownDialect.js';
 import { PoolConnection } from './poolConnection.js';
 import { sendAttempt } from './sendAttempt.js';
 import type { AttemptResult } from './sendAttempt.js';
@@ -110,7 +111,8 @@
     }
     const sentAtMs = this.now();
     const { endpoint, clock, maxBodyBytes = DEFAULT_MAX_BODY_BYTES } = this.options;
-    const context = { socket: known.socket, endpoint, clock, maxBodyBytes };
+    const { dialect = ownDialect } = this.options;
+    const context = { socket: known.socket, endpoint, clock, maxBodyBytes, dialect };
     const result = await sendAttempt(request, context, signal);
     return this.conclude(known, result, sentAtMs);
   }
--- a/packages/backendClient/src/constants.ts
+++ b/packages/backendClient/src/constants.ts
@@ -13,7 +13,7 @@
 export const TCP_KEEP_ALIVE_MS = 10_000;
 
 /** Headers that concern one connection only (RFC 9110, 7.6.1). */
-const HOP_BY_HOP_HEADERS = [
+export const HOP_BY_HOP_HEADERS = [
   'connection',
   'keep-alive',
   'proxy-authenticate',
--- a/packages/backendClient/src/index.ts
+++ b/packages/backendClient/src/index.ts
@@ -1,3 +1,4 @@
 export * from './backendPool.js';
 export * from './constants.js';
 export type * from './types.js';
+export { copyHeaders } from './utils.js';
--- a/packages/backendClient/src/sendAttempt.ts
+++ b/packages/backendClient/src/sendAttempt.ts
@@ -2,23 +2,18 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
-import { BackendHeader, describeError } from '@bronzelift/common';
+import { describeError } from '@bronzelift/common';
 import type { Clock, Endpoint } from '@bronzelift/common';
 
-import { MAX_TIMER_MS, NOT_RUN_VALUE } from './constants.js';
+import { MAX_TIMER_MS } from './constants.js';
 import type {
   BackendAttempt,
+  BackendDialect,
   BackendRequest,
   BackendResponse,
   SentFailureReason,
 } from './types.js';
-import {
-  createRequestHeaders,
-  createResponseHeaders,
-  isBodyless,
-  readContentLength,
-  readReportedLoad,
-} from './utils.js';
+import { isBodyless, readContentLength } from './utils.js';
 
 /** Surroundings of an attempt. */
 export interface AttemptContext {
@@ -26,6 +21,7 @@
   readonly endpoint: Endpoint;
   readonly clock: Clock;
   readonly maxBodyBytes: number;
+  readonly dialect: BackendDialect;
 }
 
 /** What a response says about itself, for the check before it is passed on. */
@@ -78,7 +74,7 @@
       createConnection: () => context.socket,
       method: request.method,
       path: request.path,
-      headers: createRequestHeaders(request, context.endpoint),
+      headers: context.dialect.createRequestHeaders(request, context.endpoint),
     });
     this.timer = setTimeout(
       () => {
@@ -120,9 +116,15 @@
   private receive(response: IncomingMessage): void {
     this.response = response;
     const { requestId } = this.request;
-    const answeredId = response.headers[BackendHeader.requestId];
+    const { dialect } = this.context;
+    const answeredId = dialect.readAnsweredId(response.headers);
     if (answeredId !== undefined && answeredId !== requestId) {
-      this.fail('mismatched', `response to request ${String(answeredId)}, not ${requestId}`);
+      this.fail('mismatched', `response to request ${answeredId}, not ${requestId}`);
+      return;
+    }
+    const problem = dialect.findHeadProblem(this.request, response.statusCode!, response.headers);
+    if (problem !== undefined) {
+      this.fail('mismatched', problem);
       return;
     }
     const hasBody = !isBodyless(this.request.method, response.statusCode!);
@@ -163,7 +165,7 @@
       return;
     }
     const durationMs = this.elapsedMs();
-    const isRefusal = response.headers[BackendHeader.notRun] === NOT_RUN_VALUE;
+    const isRefusal = this.context.dialect.isRefusal(response.statusCode!, response.headers);
     const kind = isRefusal ? 'refused' : 'answered';
     const answer = this.createResponse(response);
     const proof = this.createProof(response);
@@ -179,8 +181,9 @@
       return `${this.receivedBytes} of ${statedBytes} bytes`;
     }
     const isChunked = response.headers['transfer-encoding'] !== undefined;
-    // A body that ends with the connection looks the same when it was cut.
-    if (statedBytes === undefined && !isChunked) return 'a body without a length';
+    // A body that ends with the connection looks the same when its sender was stopped.
+    const isUnframed = statedBytes === undefined && !isChunked;
+    if (isUnframed && !this.context.dialect.allowsUnframedBody) return 'a body without a length';
     return undefined;
   }
 
@@ -190,9 +193,9 @@
     const bodyBytes = isBodyless(this.request.method, status) ? undefined : body.length;
     return {
       status,
-      headers: createResponseHeaders(response.headers, bodyBytes),
+      headers: this.context.dialect.createResponseHeaders(response.headers, bodyBytes),
       body,
-      load: readReportedLoad(response.headers),
+      load: this.context.dialect.readLoad(response.headers),
     };
   }
 
@@ -200,7 +203,7 @@
     const { requestId, method } = this.request;
     return {
       requestId,
-      answeredId: headers[BackendHeader.requestId] as string | undefined,
+      answeredId: this.context.dialect.readAnsweredId(headers),
       statedBytes: isBodyless(method, statusCode!) ? undefined : readContentLength(headers),
       isComplete: complete,
     };
--- a/packages/backendClient/src/types.ts
+++ b/packages/backendClient/src/types.ts
@@ -58,6 +58,8 @@
   readonly idempotencyKey?: string | undefined;
   /** Depth that the backend server hands on with calls of its own. */
   readonly callDepth?: number | undefined;
+  /** The only instance that may run the request; others at its address refuse. */
+  readonly expectedInstanceId?: InstanceId | undefined;
 }
 
 /** Load of an instance as its response states it; absent fields were not sent. */
@@ -67,6 +69,12 @@
   readonly inFlight: number | undefined;
   readonly slots: number | undefined;
   readonly state: 'cold' | 'warm' | 'draining' | undefined;
+  /** Requests that wait for a slot. */
+  readonly waiting?: number | undefined;
+  /** Time that work takes now, relative to the usual time on that VM; 1 is usual. */
+  readonly slowdown?: number | undefined;
+  /** Time until a cold instance is warm; 0 when it says that it is warm. */
+  readonly coldForMs?: number | undefined;
 }
 
 /** A complete response. */
@@ -132,6 +140,36 @@
   readonly detail: string;
 }
 
+/**
+ * How a kind of backend server is spoken to: header names, what a refusal looks like and what a
+ * response has to show before it is passed on. The rest of this package knows none of it.
+ */
+export interface BackendDialect {
+  /** Headers of a request as it is sent. */
+  readonly createRequestHeaders: (
+    request: BackendRequest,
+    endpoint: Endpoint,
+  ) => OutgoingHttpHeaders;
+  /** Headers passed on with a response; `bodyBytes` is undefined for one without a body. */
+  readonly createResponseHeaders: (
+    headers: IncomingHttpHeaders,
+    bodyBytes: number | undefined,
+  ) => OutgoingHttpHeaders;
+  /** Id of the request that a response answers; undefined when it names none. */
+  readonly readAnsweredId: (headers: IncomingHttpHeaders) => string | undefined;
+  /** Whether a response states that its request was not run. */
+  readonly isRefusal: (status: number, headers: IncomingHttpHeaders) => boolean;
+  readonly readLoad: (headers: IncomingHttpHeaders) => ReportedLoad;
+  /** Why a complete response must not be passed on all the same; undefined when it may be. */
+  readonly findHeadProblem: (
+    request: BackendRequest,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ) => string | undefined;
+  /** Whether a body may end with its connection; an orderly end then counts as complete. */
+  readonly allowsUnframedBody: boolean;
+}
+
 /** Parameters of a pool of connections to one instance. */
 export interface BackendPoolOptions {
   readonly instanceId: InstanceId;
@@ -149,6 +187,8 @@
   readonly minIdle?: number;
   /** Larger responses are reported as too large; default 1 MiB. */
   readonly maxBodyBytes?: number;
+  /** Default: the project's own headers. */
+  readonly dialect?: BackendDialect;
   readonly onConnectionClosed?: (event: ConnectionClosed) => void;
   /** Called under the name `whole-answer`. */
   readonly onViolation: (name: 'whole-answer', detail: string) => void;
--- a/packages/backendClient/src/utils.ts
+++ b/packages/backendClient/src/utils.ts
@@ -17,26 +17,32 @@
 const parseNamedHeaders = (connection: string | undefined): readonly string[] =>
   connection === undefined ? [] : connection.split(',').map((name) => name.trim().toLowerCase());
 
-const copyHeaders = (
+/** Copies headers, all but the hop-by-hop ones and those that the predicate names. */
+export const copyHeaders = (
   headers: IncomingHttpHeaders,
-  stripped: ReadonlySet<string>,
+  isStripped: (name: string) => boolean,
 ): OutgoingHttpHeaders => {
   const copied: OutgoingHttpHeaders = {};
   // Headers that `connection` names are hop-by-hop too.
   const named = parseNamedHeaders(headers.connection);
   for (const [name, value] of Object.entries(headers)) {
-    const isOwn = stripped.has(name) || name.startsWith(OWN_HEADER_PREFIX);
-    if (!isOwn && !named.includes(name)) copied[name] = value;
+    if (!isStripped(name) && !named.includes(name)) copied[name] = value;
   }
   return copied;
 };
 
+const isOwnRequestHeader = (name: string): boolean =>
+  STRIPPED_REQUEST_HEADERS.has(name) || name.startsWith(OWN_HEADER_PREFIX);
+
+const isOwnResponseHeader = (name: string): boolean =>
+  STRIPPED_RESPONSE_HEADERS.has(name) || name.startsWith(OWN_HEADER_PREFIX);
+
 /** Headers sent to a backend server. */
 export const createRequestHeaders = (
   request: BackendRequest,
   endpoint: Endpoint,
 ): OutgoingHttpHeaders => {
-  const headers = copyHeaders(request.headers, STRIPPED_REQUEST_HEADERS);
+  const headers = copyHeaders(request.headers, isOwnRequestHeader);
   headers.host = formatEndpoint(endpoint);
   // Without this, Node closes the connection of a request that has no agent.
   headers.connection = 'keep-alive';
@@ -55,7 +61,7 @@
   headers: IncomingHttpHeaders,
   bodyBytes: number | undefined,
 ): OutgoingHttpHeaders => {
-  const copied = copyHeaders(headers, STRIPPED_RESPONSE_HEADERS);
+  const copied = copyHeaders(headers, isOwnResponseHeader);
   if (bodyBytes !== undefined) copied['content-length'] = String(bodyBytes);
   return copied;
 };
--- a/packages/common/src/utils.ts
+++ b/packages/common/src/utils.ts
@@ -35,3 +35,25 @@
 export const assertNever = (value: never): never => {
   throw new Error(`unhandled case ${JSON.stringify(value)}`);
 };
+
+/** A controller that is aborted with its parent; cheaper on each request than AbortSignal.any. */
+export const createLinkedAbort = (parent: AbortSignal): AbortController => {
+  const controller = new AbortController();
+  if (parent.aborted) controller.abort();
+  else parent.addEventListener('abort', () => controller.abort(), { once: true });
+  return controller;
+};
+
+/** Whether a promise settles within a duration in milliseconds. */
+export const settlesWithin = async (
+  promise: Promise<unknown>,
+  durationMs: number,
+): Promise<boolean> => {
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<false>((resolve) => {
+    timer = setTimeout(() => resolve(false), durationMs);
+  });
+  const isSettled = await Promise.race([promise.then(() => true), late]);
+  clearTimeout(timer);
+  return isSettled;
+};
--- a/packages/entryDaemon/src/requestRunner.ts
+++ b/packages/entryDaemon/src/requestRunner.ts
@@ -1,6 +1,6 @@
 import type { BackendAttempt, BackendRequest } from '@bronzelift/backend-client';
 import type { Clock, FailureDomainId, Incarnation, RandomSource, VmId } from '@bronzelift/common';
-import { assertNever } from '@bronzelift/common';
+import { assertNever, createLinkedAbort, settlesWithin } from '@bronzelift/common';
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 import { decideRetry } from '@bronzelift/routing';
@@ -33,14 +33,6 @@
 
 const NEVER_SENT: OrderSendGuard = { beforeSend: () => true, provenNotRun: () => {} };
 
-/** A controller that is aborted with its parent; cheaper on each request than AbortSignal.any. */
-const createLinkedAbort = (parent: AbortSignal): AbortController => {
-  const controller = new AbortController();
-  if (parent.aborted) controller.abort();
-  else parent.addEventListener('abort', () => controller.abort(), { once: true });
-  return controller;
-};
-
 const toResult = (attempt: BackendAttempt): WorkResult => {
   switch (attempt.kind) {
     case 'answered': {
@@ -105,7 +97,7 @@
     const localAbort = createLinkedAbort(work.signal);
     const local = this.admit({ ...work, signal: localAbort.signal }, service, NEVER_SENT);
     const halfMs = (work.deadlineAtMs - this.options.clock.monotonicMs()) / 2;
-    if (await this.settlesWithin(local, halfMs)) return local;
+    if (await settlesWithin(local, halfMs)) return local;
     if (!service.retries.take()) return local;
     const peerAbort = createLinkedAbort(work.signal);
     const peer = this.forward({ ...work, signal: peerAbort.signal }, service, NEVER_SENT);
@@ -277,7 +269,7 @@
     const first = this.attempt(work, service, chosen, NEVER_SENT, firstAbort.signal);
     const delayMs = service.hedges.delayMs();
     if (delayMs === undefined) return first;
-    const isDone = await this.settlesWithin(first, delayMs);
+    const isDone = await settlesWithin(first, delayMs);
     if (isDone) return first;
     const second =
       service.freeSlots() > 0 && service.hedges.take() ? service.choose(false, tried) : undefined;
@@ -289,17 +281,6 @@
     return this.firstAnswer(first, firstAbort, hedge, secondAbort);
   }
 
-  // eslint-disable-next-line class-methods-use-this -- kept beside its only use
-  private async settlesWithin(attempt: Promise<unknown>, delayMs: number): Promise<boolean> {
-    let timer: NodeJS.Timeout | undefined;
-    const late = new Promise<false>((resolve) => {
-      timer = setTimeout(() => resolve(false), delayMs);
-    });
-    const isDone = await Promise.race([attempt.then(() => true), late]);
-    clearTimeout(timer);
-    return isDone;
-  }
-
   /** The first attempt that was answered; the other is cancelled. */
   // eslint-disable-next-line class-methods-use-this -- kept beside its only use
   private async firstAnswer(
--- /dev/null
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -0,0 +1,266 @@
+import { assertNever, describeError, sleep } from '@bronzelift/common';
+import type { Clock } from '@bronzelift/common';
+import { LogComponent } from '@bronzelift/observability';
+import type { DecisionLog, Metrics } from '@bronzelift/observability';
+
+import {
+  HEARTBEAT_MS,
+  MEMBER_SEARCH_MS,
+  PEER_WAIT_MS,
+  READER_SILENT_MS,
+} from './constants.js';
+import type { ControlState, InstanceDelta } from './controlState.js';
+import type { MemberStatus, MemberTable } from './memberTable.js';
+import type { PeerMessage } from './peerMessages.js';
+import { PeerNetwork } from './peerNetwork.js';
+import { StoreReader } from './storeReader.js';
+import type { ControlStore, GatewaySettings } from './types.js';
+
+/** Parameters of the control plane. */
+export interface ControlPlaneOptions {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly metrics: Metrics;
+  readonly settings: GatewaySettings;
+  readonly store: ControlStore;
+  readonly state: ControlState;
+  readonly members: MemberTable;
+  readonly ownStatus: () => MemberStatus;
+}
+
+/**
+ * Keeps the state of this entry VM current. Two elected members read the store and send what
+ * changed to all; the others compare digests in heartbeats and fetch what they miss. A member that
+ * hears no reader reads the store itself.
+ */
+export class ControlPlane {
+  private readonly network: PeerNetwork;
+
+  private readonly reader: StoreReader;
+
+  private readonly stopped = new AbortController();
+
+  private isFetching = false;
+
+  private isWaitingForPeers = true;
+
+  private constructor(private readonly options: ControlPlaneOptions) {
+    const { clock, log, metrics, settings, store, state, members } = options;
+    this.network = PeerNetwork.create({
+      host: settings.host,
+      port: settings.peerPort,
+      log,
+      onMessage: (message, fromHost) => this.receive(message, fromHost),
+      answerState: (query) => ({
+        operator:
+          state.revision > query.operatorRevision ? state.operatorSnapshot() : undefined,
+        instances: state.digest !== query.instanceDigest ? state.instanceSnapshot() : undefined,
+      }),
+    });
+    this.reader = StoreReader.create({
+      clock,
+      log,
+      metrics,
+      store,
+      state,
+      shouldRead: () => this.shouldRead(),
+      onStoreCall: (hasSucceeded) => this.noteStoreCall(hasSucceeded),
+      storeReadAtMs: () => members.storeReadAtMs(),
+      isAnyStoreFailing: () => members.isAnyStoreFailing(),
+      onInstancesRead: (delta) => this.publishDelta(delta),
+      onOperatorChange: () => this.sendHeartbeat(),
+    });
+  }
+
+  /** Creates a control plane; it works after `start`. */
+  static create(options: ControlPlaneOptions): ControlPlane {
+    return new ControlPlane(options);
+  }
+
+  /** Time since this entry VM read the registrations itself. */
+  get storeReadAgeMs(): number {
+    return this.reader.readAgeMs;
+  }
+
+  /** Whether this entry VM reads the store now. */
+  get isReader(): boolean {
+    return !this.isWaitingForPeers && this.options.members.isElectedReader();
+  }
+
+  /** Opens the peer ports and starts all tasks; rejects with a StepError. */
+  async start(): Promise<void> {
+    await this.network.open();
+    this.network.send(this.options.settings.seedHosts, this.heartbeat());
+    this.runHeartbeats();
+    this.runMemberSearch();
+    this.waitForPeers();
+    this.reader.start();
+  }
+
+  /** Tells all members about a change of this entry VM's status at once. */
+  sendHeartbeat(): void {
+    this.network.send(this.peerHosts(), this.heartbeat());
+  }
+
+  /** Stops all tasks and closes the ports. */
+  stop(): void {
+    this.stopped.abort();
+    this.reader.stop();
+    this.network.close();
+    this.options.store.close();
+  }
+
+  /** A start with peers takes over their state; without any it reads the store after a short wait. */
+  private async waitForPeers(): Promise<void> {
+    await sleep(PEER_WAIT_MS, this.stopped.signal);
+    this.isWaitingForPeers = false;
+  }
+
+  private shouldRead(): boolean {
+    if (this.isWaitingForPeers) return false;
+    const { members, clock } = this.options;
+    if (members.isElectedReader()) return true;
+    return clock.monotonicMs() - members.readerHeardAtMs() > READER_SILENT_MS;
+  }
+
+  private noteStoreCall(hasSucceeded: boolean): void {
+    const { members } = this.options;
+    const wasFailing = members.isOwnStoreFailing;
+    members.noteStoreCall(hasSucceeded);
+    if (wasFailing !== !hasSucceeded) this.sendHeartbeat();
+  }
+
+  private heartbeat(): PeerMessage {
+    return { kind: 'heartbeat', status: this.options.ownStatus() };
+  }
+
+  private peerHosts(): string[] {
+    const known = this.options.members.all().map(({ host }) => host);
+    const { host: ownHost, seedHosts } = this.options.settings;
+    return [...new Set([...known, ...seedHosts])].filter((host) => host !== ownHost);
+  }
+
+  /** Sends a difference, or a sign that there is none, to all members. */
+  private publishDelta(delta: InstanceDelta): void {
+    const hasChange = delta.fromDigest !== delta.toDigest;
+    const status = this.options.ownStatus();
+    const message: PeerMessage = hasChange
+      ? { kind: 'delta', status, delta }
+      : { kind: 'heartbeat', status };
+    const isSent = this.network.send(this.peerHosts(), message);
+    // Peers that see another digest in a heartbeat fetch the whole state.
+    if (!isSent) this.sendHeartbeat();
+  }
+
+  private async runHeartbeats(): Promise<void> {
+    const { signal } = this.stopped;
+    const { state, members, log } = this.options;
+    while (!signal.aborted) {
+      // A reader sends a sign of life with each read.
+      if (!this.isReader) this.sendHeartbeat();
+      const delta = state.applyDueRemovals();
+      if (delta !== undefined) this.publishDelta(delta);
+      for (const { status } of members.forgetSilent()) {
+        log.info(LogComponent.member, 'member forgotten', { member: status.vmId });
+      }
+      await sleep(HEARTBEAT_MS, signal);
+    }
+  }
+
+  /** Announces this entry VM in the store, and looks there for members that seeds do not know. */
+  private async runMemberSearch(): Promise<void> {
+    const { signal } = this.stopped;
+    const { settings, store, log, members } = this.options;
+    let isAnnounced = false;
+    while (!signal.aborted) {
+      try {
+        if (!isAnnounced) {
+          await store.announceMember({ vmId: settings.vmId, host: settings.host });
+          isAnnounced = true;
+        }
+        if (this.isReader || members.live().length === 0) {
+          const found = await store.readMembers();
+          const hosts = found.map(({ host }) => host).filter((host) => host !== settings.host);
+          this.network.send(hosts, this.heartbeat());
+        }
+      } catch (error) {
+        log.warn(LogComponent.member, 'member search failed', { error: describeError(error) });
+      }
+      await sleep(isAnnounced ? MEMBER_SEARCH_MS : HEARTBEAT_MS, signal);
+    }
+  }
+
+  private receive(message: PeerMessage, fromHost: string): void {
+    switch (message.kind) {
+      case 'heartbeat':
+        this.hear(message.status, fromHost);
+        return;
+      case 'delta':
+        this.options.state.applyDelta(message.delta);
+        this.hear(message.status, fromHost);
+        return;
+      case 'members':
+        this.greetUnknown(message.hosts);
+        return;
+      default:
+        assertNever(message);
+    }
+  }
+
+  private hear(status: MemberStatus, fromHost: string): void {
+    const { members, state, log, settings } = this.options;
+    if (status.vmId === settings.vmId) return;
+    const isNew = members.hear(status, fromHost);
+    if (isNew) {
+      log.info(LogComponent.member, 'member heard', {
+        member: status.vmId,
+        incarnation: status.incarnation,
+        domain: status.failureDomainId,
+        phase: status.phase,
+      });
+      const hosts = members.all().map(({ host }) => host);
+      this.network.send([fromHost], this.heartbeat());
+      this.network.send([fromHost], { kind: 'members', hosts });
+    }
+    state.confirmInstances(status.instanceOffset, status.instanceDigest);
+    if (this.isBehind(status)) this.fetch(status, fromHost);
+  }
+
+  private greetUnknown(hosts: readonly string[]): void {
+    const known = new Set(this.peerHosts());
+    const unknown = hosts.filter((host) => !known.has(host) && host !== this.options.settings.host);
+    if (unknown.length > 0) this.network.send(unknown, this.heartbeat());
+  }
+
+  /** Whether a member knows something newer that is worth a fetch. */
+  private isBehind(status: MemberStatus): boolean {
+    const { state } = this.options;
+    if (status.operatorRevision > state.revision) return true;
+    const ownOffset = state.nextInstanceOffset ?? -1;
+    return status.instanceOffset > ownOffset && status.instanceDigest !== state.digest;
+  }
+
+  private async fetch(status: MemberStatus, host: string): Promise<void> {
+    if (this.isFetching) return;
+    this.isFetching = true;
+    const { state, log } = this.options;
+    try {
+      const fetched = await this.network.fetchState(host, {
+        operatorRevision: state.revision,
+        instanceDigest: state.nextInstanceOffset === undefined ? -1 : state.digest,
+        instanceOffset: state.nextInstanceOffset ?? -1,
+      });
+      if (fetched.operator) state.adoptOperatorSnapshot(fetched.operator);
+      if (fetched.instances) state.adoptInstanceSnapshot(fetched.instances);
+      log.info(LogComponent.log, 'state taken from peer', {
+        peer: status.vmId,
+        revision: state.revision,
+        instanceOffset: state.nextInstanceOffset,
+      });
+    } catch (error) {
+      log.warn(LogComponent.log, 'state of peer not fetched', { error: describeError(error) });
+    } finally {
+      this.isFetching = false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/gatewayDaemon/src/frontServer.ts
@@ -0,0 +1,160 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, OutgoingHttpHeaders, Server, ServerResponse } from 'node:http';
+
+import { assertNever, describeError } from '@bronzelift/common';
+import type { Clock } from '@bronzelift/common';
+import { LogComponent } from '@bronzelift/observability';
+import type { DecisionLog } from '@bronzelift/observability';
+
+import { DEFAULT_IDLE_TIMEOUT_MS, DEFAULT_MAX_BODY_BYTES, MAX_HEADER_BYTES } from './constants.js';
+import type { RequestHandler } from './requestHandler.js';
+import type { CallerLimits, FailureReason, GatewayAnswer, GatewayProtocol } from './types.js';
+
+/** Parameters of the server for callers' requests. */
+export interface FrontServerOptions {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly protocol: GatewayProtocol;
+  readonly handler: RequestHandler;
+  /** Whether a planned shutdown is under way; callers are then asked to connect elsewhere. */
+  readonly isStopping: () => boolean;
+}
+
+type BodyResult =
+  | { readonly kind: 'read'; readonly body: Buffer | undefined }
+  | { readonly kind: 'too-large' }
+  | { readonly kind: 'aborted' };
+
+const FAILURE_STATUS: Readonly<Record<FailureReason, number>> = {
+  timeout: 504,
+  'instance-failed': 502,
+  'caller-gone': 502,
+  'too-large': 502,
+};
+
+const hasBody = ({ headers }: IncomingMessage): boolean =>
+  headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+
+const readBody = (message: IncomingMessage, maxBytes: number): Promise<BodyResult> =>
+  new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    message.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes <= maxBytes) chunks.push(chunk);
+      else resolve({ kind: 'too-large' });
+    });
+    message.on('end', () => resolve({ kind: 'read', body: Buffer.concat(chunks) }));
+    message.on('error', () => resolve({ kind: 'aborted' }));
+    message.on('close', () => resolve({ kind: 'aborted' }));
+  });
+
+/** HTTP server for the requests of callers. */
+export class FrontServer {
+  readonly server: Server;
+
+  private inFlightCount = 0;
+
+  private maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
+
+  private constructor(private readonly options: FrontServerOptions) {
+    this.server = createServer(
+      { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS },
+      (message, response) => {
+        this.handle(message, response).catch((error: unknown) => {
+          options.log.error(LogComponent.daemon, 'request failed', { error: describeError(error) });
+          response.destroy();
+        });
+      },
+    );
+  }
+
+  /** Creates the server; it listens after `server.listen`. */
+  static create(options: FrontServerOptions): FrontServer {
+    return new FrontServer(options);
+  }
+
+  /** Requests without an answer yet. */
+  get inFlight(): number {
+    return this.inFlightCount;
+  }
+
+  /** Takes over the limits of a configuration. */
+  setLimits({ maxBodyBytes, headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
+    this.maxBodyBytes = maxBodyBytes;
+    this.server.headersTimeout = headerTimeoutMs;
+    this.server.keepAliveTimeout = idleTimeoutMs;
+  }
+
+  private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAtMs = this.options.clock.monotonicMs();
+    this.inFlightCount += 1;
+    response.once('close', () => {
+      this.inFlightCount -= 1;
+    });
+    const caller = new AbortController();
+    response.once('close', () => {
+      if (!response.writableFinished) caller.abort();
+    });
+    const { requestId, waitMs } = this.options.protocol.readCallerHeaders(message.headers);
+    if (requestId === undefined) {
+      this.write(response, 400, {}, 'the request has no id');
+      return;
+    }
+    const body: BodyResult = hasBody(message)
+      ? await readBody(message, this.maxBodyBytes)
+      : { kind: 'read', body: undefined };
+    if (body.kind === 'aborted') return;
+    if (body.kind === 'too-large') {
+      this.write(response, 413, { connection: 'close' }, 'the body is too large');
+      return;
+    }
+    const request = {
+      requestId,
+      method: message.method ?? 'GET',
+      path: message.url ?? '/',
+      headers: message.headers,
+      body: body.body,
+      arrivedAtMs,
+      callerWaitMs: waitMs ?? Infinity,
+      signal: caller.signal,
+    };
+    const answer = await this.options.handler.handle(request, message.headers.host);
+    if (!caller.signal.aborted) this.writeAnswer(response, answer);
+  }
+
+  private writeAnswer(response: ServerResponse, answer: GatewayAnswer): void {
+    switch (answer.kind) {
+      case 'answered':
+        this.write(response, answer.status, answer.headers, answer.body);
+        return;
+      case 'not-found':
+        this.write(response, 404, {}, 'no route matches host and path');
+        return;
+      case 'refused': {
+        const headers = this.options.protocol.createRefusalHeaders(answer.retryAfterMs);
+        this.write(response, 503, headers, `not run: ${answer.reason}`);
+        return;
+      }
+      case 'failed':
+        this.write(response, FAILURE_STATUS[answer.reason], {}, answer.reason);
+        return;
+      default:
+        assertNever(answer);
+    }
+  }
+
+  private write(
+    response: ServerResponse,
+    status: number,
+    headers: OutgoingHttpHeaders,
+    body: Buffer | string,
+  ): void {
+    if (this.options.isStopping()) response.setHeader('connection', 'close');
+    response.writeHead(status, {
+      ...headers,
+      ...(typeof body === 'string' ? { 'content-length': Buffer.byteLength(body) } : {}),
+    });
+    response.end(body);
+  }
+}
--- /dev/null
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -0,0 +1,337 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+
+import type { BackendDialect } from '@bronzelift/backend-client';
+import { StepError, createIncarnation, describeError, formatEndpoint } from '@bronzelift/common';
+import type { Clock, Endpoint, RandomSource, ServiceName } from '@bronzelift/common';
+import { DecisionLog, LogComponent, Metrics } from '@bronzelift/observability';
+
+import {
+  LOG_CLOSE_MS,
+  LOG_FLUSH_MS,
+  STOP_CHECK_MS,
+  STOP_LINGER_MS,
+  STOP_RESERVE_MS,
+  SWEEP_MS,
+} from './constants.js';
+import { ControlPlane } from './controlPlane.js';
+import { ControlState } from './controlState.js';
+import { createDirectoryServer, createReadinessServer } from './directoryServer.js';
+import { FrontServer } from './frontServer.js';
+import { InstanceFinder } from './instanceFinder.js';
+import { MemberTable } from './memberTable.js';
+import type { MemberStatus, OwnMember } from './memberTable.js';
+import { Prober } from './prober.js';
+import { RequestHandler } from './requestHandler.js';
+import { ServiceRuntime } from './serviceRuntime.js';
+import type {
+  ControlStore,
+  GatewayConfiguration,
+  GatewayProtocol,
+  GatewaySettings,
+  InstanceRecord,
+  Route,
+} from './types.js';
+
+/** Parameters of a gateway daemon. */
+export interface GatewayDaemonOptions {
+  readonly settings: GatewaySettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly store: ControlStore;
+  readonly protocol: GatewayProtocol;
+  readonly dialect: BackendDialect;
+  /** Port of the metrics; undefined for none. */
+  readonly metricsPort: number | undefined;
+}
+
+const listen = async (server: Server, endpoint: Endpoint, step: string): Promise<void> => {
+  server.listen(endpoint.port, endpoint.host);
+  try {
+    await once(server, 'listening');
+  } catch (error) {
+    throw StepError.create(step, formatEndpoint(endpoint), describeError(error), error);
+  }
+};
+
+/**
+ * The daemon of an entry VM on a platform with a shared store, whose backend servers check who is
+ * meant, shed what they cannot take, and state their load.
+ */
+export class GatewayDaemon {
+  private readonly log: DecisionLog;
+
+  private readonly metrics = Metrics.create();
+
+  private readonly incarnation: string;
+
+  private readonly services = new Map<ServiceName, ServiceRuntime>();
+
+  /** Service of each instance, to notice one that moved. */
+  private readonly serviceOfInstance = new Map<string, ServiceName>();
+
+  private readonly state: ControlState;
+
+  private readonly members: MemberTable;
+
+  private readonly control: ControlPlane;
+
+  private readonly front: FrontServer;
+
+  private readonly servers: Server[] = [];
+
+  private sweepTimer: NodeJS.Timeout | undefined;
+
+  private isStopping = false;
+
+  private constructor(private readonly options: GatewayDaemonOptions) {
+    const { clock, random, settings, protocol, store } = options;
+    this.log = DecisionLog.create({ clock, flushIntervalMs: LOG_FLUSH_MS });
+    this.incarnation = createIncarnation(clock, random);
+    this.state = ControlState.create(clock, {
+      onConfiguration: (configuration) => this.applyConfiguration(configuration),
+      onDomains: (domainsOut) => {
+        this.log.info(LogComponent.config, 'failure domains out of service', {
+          domains: domainsOut.join(','),
+          revision: this.state.revision,
+        });
+      },
+      onInstances: (changed, removed) => this.applyInstances(changed, removed),
+      onUnreadable: (key, problem) => {
+        this.log.warn(LogComponent.config, 'record left out', { key, problem });
+      },
+    });
+    this.members = MemberTable.create({
+      clock,
+      random,
+      regionOfDomain: settings.regionOfDomain,
+      own: () => this.ownMember(),
+    });
+    this.control = ControlPlane.create({
+      clock,
+      log: this.log,
+      metrics: this.metrics,
+      settings,
+      store,
+      state: this.state,
+      members: this.members,
+      ownStatus: () => this.ownStatus(),
+    });
+    this.front = FrontServer.create({
+      clock,
+      log: this.log,
+      protocol,
+      handler: this.createHandler(),
+      isStopping: () => this.isStopping,
+    });
+  }
+
+  /** Creates a daemon; it serves after `start`. */
+  static create(options: GatewayDaemonOptions): GatewayDaemon {
+    return new GatewayDaemon(options);
+  }
+
+  /** Opens all ports and starts all tasks; rejects with a StepError. */
+  async start(): Promise<void> {
+    const { settings, metricsPort } = this.options;
+    this.log.start();
+    this.log.info(LogComponent.daemon, 'started', {
+      vm: settings.vmId,
+      incarnation: this.incarnation,
+      domain: settings.failureDomainId,
+    });
+    const directory = {
+      protocol: this.options.protocol,
+      members: this.members,
+      isReady: () => this.isReady,
+      maxTtlMs: settings.bounds.maxAddressTtlMs,
+    };
+    const readinessServer = createReadinessServer(directory);
+    const directoryServer = createDirectoryServer(directory);
+    this.servers.push(this.front.server, readinessServer, directoryServer);
+    await Promise.all([
+      listen(this.front.server, settings.callerEndpoint, 'open port for callers'),
+      listen(readinessServer, settings.readinessEndpoint, 'open port for readiness'),
+      listen(directoryServer, settings.directoryEndpoint, 'open port for addresses'),
+      this.control.start(),
+    ]);
+    if (metricsPort !== undefined) await this.serveMetrics(metricsPort);
+    this.sweepTimer = setInterval(() => {
+      for (const service of this.services.values()) service.sweep();
+    }, SWEEP_MS);
+  }
+
+  /** Notes that the settings file has changed; addresses and ids of a process stay as they are. */
+  reload(): void {
+    this.log.info(LogComponent.daemon, 'reload requested', { effect: 'settings kept' });
+  }
+
+  /**
+   * Planned shutdown: callers are sent elsewhere first; requests in flight, and those that still
+   * arrive meanwhile, are finished.
+   */
+  async stop(): Promise<void> {
+    if (this.isStopping) return;
+    this.isStopping = true;
+    const { clock, settings } = this.options;
+    const startedAtMs = clock.monotonicMs();
+    this.log.info(LogComponent.daemon, 'stopping', { inFlight: this.front.inFlight });
+    this.control.sendHeartbeat();
+    const limitMs = settings.bounds.stopGraceMs - STOP_RESERVE_MS;
+    await this.wait(Math.min(STOP_LINGER_MS, limitMs));
+    this.front.server.close();
+    this.front.server.closeIdleConnections();
+    while (this.front.inFlight > 0 && clock.monotonicMs() - startedAtMs < limitMs) {
+      await this.wait(STOP_CHECK_MS);
+    }
+    this.control.stop();
+    clearInterval(this.sweepTimer);
+    for (const server of this.servers) server.close();
+    this.log.info(LogComponent.daemon, 'stopped', {
+      inFlight: this.front.inFlight,
+      tookMs: clock.monotonicMs() - startedAtMs,
+    });
+    await this.log.close(LOG_CLOSE_MS);
+  }
+
+  private get isReady(): boolean {
+    return this.state.isComplete && !this.isStopping;
+  }
+
+  private ownMember(): OwnMember {
+    const { settings } = this.options;
+    const phase = this.state.isComplete ? 'ready' : 'starting';
+    return {
+      vmId: settings.vmId,
+      failureDomainId: settings.failureDomainId,
+      callerEndpoint: settings.callerEndpoint,
+      phase: this.isStopping ? 'leaving' : phase,
+      storeReadAgeMs: this.control.storeReadAgeMs,
+    };
+  }
+
+  private ownStatus(): MemberStatus {
+    return {
+      ...this.ownMember(),
+      incarnation: this.incarnation,
+      isStoreFailing: this.members.isOwnStoreFailing,
+      isReader: this.control.isReader,
+      operatorRevision: this.state.revision,
+      instanceOffset: this.state.nextInstanceOffset ?? -1,
+      instanceDigest: this.state.digest,
+    };
+  }
+
+  private createHandler(): RequestHandler {
+    const { clock, random, settings } = this.options;
+    const { log, metrics, state } = this;
+    const finder = InstanceFinder.create({
+      clock,
+      random,
+      ownDomainId: settings.failureDomainId,
+      prober: Prober.create({ clock, log, metrics }),
+      isDomainOut: (id) => state.isDomainOut(id),
+      isRegionAllowed: (id, { allowedRegions }) =>
+        allowedRegions.length === 0 ||
+        allowedRegions.includes(settings.regionOfDomain.get(id) ?? ''),
+    });
+    return RequestHandler.create({
+      clock,
+      random,
+      log,
+      metrics,
+      state,
+      finder,
+      findService: (name) => this.services.get(name),
+    });
+  }
+
+  private applyConfiguration(configuration: GatewayConfiguration): void {
+    const { version, routes, services, limits } = configuration;
+    const routesOfService = new Map<ServiceName, Route[]>();
+    for (const route of routes) {
+      for (const { service } of route.parts) {
+        const known = routesOfService.get(service) ?? [];
+        known.push(route);
+        routesOfService.set(service, known);
+      }
+    }
+    const policies = new Map(services.map((policy) => [policy.name, policy]));
+    for (const name of new Set([...policies.keys(), ...routesOfService.keys()])) {
+      this.serviceOf(name).setPolicy(policies.get(name), routesOfService.get(name) ?? []);
+    }
+    this.front.setLimits(limits);
+    this.log.info(LogComponent.config, 'configuration in force', {
+      version,
+      revision: this.state.revision,
+      routes: routes.length,
+    });
+    this.control.sendHeartbeat();
+  }
+
+  private applyInstances(changed: readonly InstanceRecord[], removed: readonly string[]): void {
+    for (const id of removed) {
+      const service = this.serviceOfInstance.get(id);
+      if (service !== undefined) this.services.get(service)?.removeInstance(id);
+      this.serviceOfInstance.delete(id);
+      this.log.info(LogComponent.backend, 'instance gone', { instance: id });
+    }
+    for (const record of changed) {
+      const formerService = this.serviceOfInstance.get(record.id);
+      if (formerService !== undefined && formerService !== record.service) {
+        this.services.get(formerService)?.removeInstance(record.id);
+      }
+      this.serviceOfInstance.set(record.id, record.service);
+      this.serviceOf(record.service).setInstance(record);
+      this.log.info(LogComponent.backend, 'instance registered', {
+        instance: record.id,
+        service: record.service,
+        address: formatEndpoint(record.endpoint),
+        domain: record.failureDomainId,
+        draining: record.isDraining,
+        coldForMs: Math.round(record.coldForMs),
+      });
+    }
+  }
+
+  private serviceOf(name: ServiceName): ServiceRuntime {
+    const known = this.services.get(name);
+    if (known !== undefined) return known;
+    const { clock, random, dialect, settings } = this.options;
+    const created = ServiceRuntime.create(name, undefined, {
+      clock,
+      random,
+      log: this.log,
+      metrics: this.metrics,
+      dialect,
+      bounds: settings.bounds,
+      countSharers: (failureDomainId) => this.members.countSharers(failureDomainId),
+      onViolation: (invariant, detail) => {
+        this.log.error(LogComponent.invariant, invariant, { detail });
+      },
+    });
+    this.services.set(name, created);
+    return created;
+  }
+
+  private async serveMetrics(port: number): Promise<void> {
+    const server = createServer((_message, response) => {
+      response.setHeader('content-type', 'text/plain; version=0.0.4');
+      response.end(this.metrics.formatPrometheus());
+    });
+    try {
+      await listen(server, { host: this.options.settings.host, port }, 'open port for metrics');
+      this.servers.push(server);
+    } catch (error) {
+      this.log.warn(LogComponent.daemon, 'metrics not served', { error: describeError(error) });
+    }
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- kept beside its uses
+  private wait(durationMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      setTimeout(resolve, durationMs);
+    });
+  }
+}
--- /dev/null
+++ b/packages/gatewayDaemon/src/index.ts
@@ -0,0 +1,4 @@
+export { GatewayDaemon } from './gatewayDaemon.js';
+export type { GatewayDaemonOptions } from './gatewayDaemon.js';
+export { PROBE_REQUEST_ID } from './constants.js';
+export type * from './types.js';
--- /dev/null
+++ b/packages/gatewayDaemon/src/instanceFinder.ts
@@ -0,0 +1,217 @@
+import { sleep } from '@bronzelift/common';
+import type { Clock, FailureDomainId, InstanceId, RandomSource } from '@bronzelift/common';
+import { rankPlacements } from '@bronzelift/routing';
+import type { PlacementEstimate, PlacementNeed } from '@bronzelift/routing';
+
+import {
+  COLD_CHECK_MS,
+  FRESH_REPORT_MS,
+  GOOD_SLOWDOWN,
+  PROBE_TIMEOUT_MS,
+  PROBE_WIDTH,
+  RESERVED_SLOTS,
+  RESERVE_UTILIZATION,
+  SEARCH_PAUSE_MS,
+} from './constants.js';
+import type { InstanceRuntime } from './instanceRuntime.js';
+import type { Prober } from './prober.js';
+import type { ServiceRuntime } from './serviceRuntime.js';
+import type { Route } from './types.js';
+
+/** Parameters of the search for instances. */
+export interface InstanceFinderOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly ownDomainId: FailureDomainId;
+  readonly prober: Prober;
+  /** Whether operators took a failure domain out of service. */
+  readonly isDomainOut: (failureDomainId: FailureDomainId) => boolean;
+  readonly isRegionAllowed: (failureDomainId: FailureDomainId, route: Route) => boolean;
+}
+
+/** A search for one request. */
+export interface InstanceSearch {
+  readonly service: ServiceRuntime;
+  readonly route: Route;
+  /** Instances that this request was sent to already. */
+  readonly excluded: ReadonlySet<InstanceId>;
+  /** Monotonic time by which an answer has its full worth. */
+  readonly objectiveAtMs: number;
+  /** Monotonic time by which an answer is needed at all. */
+  readonly deadlineAtMs: number;
+  /** Monotonic time until which the request waits for a good instance. */
+  readonly holdUntilMs: number;
+  /** Whether a slow instance is taken when the search has found no good one. */
+  readonly acceptsSlow: boolean;
+  readonly signal: AbortSignal;
+}
+
+/** A chosen instance and what the choice rests on. */
+export interface FoundInstance {
+  readonly instance: InstanceRuntime;
+  readonly expectedMs: number;
+  readonly reportAgeMs: number;
+  readonly slowdown: number;
+  readonly freeSlots: number;
+  readonly reason: 'fresh-report' | 'probed' | 'slow';
+}
+
+/** Why a search found nothing. */
+export type SearchMiss = 'no-instance' | 'overloaded' | 'caller-gone';
+
+/**
+ * Finds an instance with a free slot at good pace. On shared hosts the pace of an instance changes
+ * several times a second, so that a choice rests on a report of the last moment: the load in a
+ * response that has just arrived, or else the first good answer to a few probes.
+ */
+export class InstanceFinder {
+  private constructor(private readonly options: InstanceFinderOptions) {}
+
+  /** Creates a finder. */
+  static create(options: InstanceFinderOptions): InstanceFinder {
+    return new InstanceFinder(options);
+  }
+
+  /** Searches until a good instance is found or the request has waited long enough. */
+  async find(search: InstanceSearch): Promise<FoundInstance | SearchMiss> {
+    for (;;) {
+      if (search.signal.aborted) return 'caller-gone';
+      const usable = this.usableInstances(search);
+      const known = this.rank(search, usable);
+      const fresh = known.find((estimate) => this.isGoodNow(search, estimate));
+      if (fresh !== undefined) return this.describe(search, fresh, 'fresh-report');
+      const probed = await this.probeFirstGood(search, known);
+      // Registrations may have changed while probes were on their way.
+      if (probed !== undefined && this.isStillUsable(search, probed)) {
+        return this.describe(search, probed, 'probed');
+      }
+      if (search.signal.aborted) return 'caller-gone';
+      if (this.now() + SEARCH_PAUSE_MS >= search.holdUntilMs) return this.conclude(search);
+      await sleep(SEARCH_PAUSE_MS, search.signal);
+    }
+  }
+
+  /** The end of a search: a slow instance that still answers in time, or a refusal. */
+  private conclude(search: InstanceSearch): FoundInstance | SearchMiss {
+    const usable = this.usableInstances(search);
+    if (usable.length === 0) return 'no-instance';
+    const leftMs = search.deadlineAtMs - this.now();
+    const slow = this.rank(search, usable).find(
+      ({ freeSlots, finishMs }) => freeSlots > 0 && finishMs < leftMs,
+    );
+    if (slow === undefined || !search.acceptsSlow) return 'overloaded';
+    return this.describe(search, slow, 'slow');
+  }
+
+  /** Instances that may receive the request at all. */
+  private usableInstances(search: InstanceSearch): InstanceRuntime[] {
+    const { service, route, excluded } = search;
+    const allowed = [...service.instances].filter(
+      ({ record, id, isReplaced }) =>
+        !record.isDraining &&
+        !isReplaced &&
+        !excluded.has(id) &&
+        !this.options.isDomainOut(record.failureDomainId) &&
+        this.options.isRegionAllowed(record.failureDomainId, route),
+    );
+    const open = allowed.filter((instance) => instance.isOpen(service.coldLimit(instance)));
+    const { selector } = service;
+    const sound = open.filter(
+      ({ id }) => selector.isUsable(id) || (route.isIdempotent && selector.isTrialDue(id)),
+    );
+    return sound.length > 0 ? sound : open;
+  }
+
+  private rank(search: InstanceSearch, instances: readonly InstanceRuntime[]): PlacementEstimate[] {
+    const candidates = instances.map((instance) => instance.toCandidate(this.options.ownDomainId));
+    return rankPlacements(candidates, this.need(search), this.options.random);
+  }
+
+  private need({ service, route }: InstanceSearch): PlacementNeed {
+    const isUrgent = route.priority <= service.topPriority;
+    const isScarce = service.utilization > RESERVE_UTILIZATION;
+    return {
+      workMs: service.workMs(route),
+      usualSlowdown: service.usualSlowdown.value,
+      reservedSlots: isScarce && !isUrgent ? RESERVED_SLOTS : 0,
+      nowMs: this.now(),
+    };
+  }
+
+  private isGoodNow(search: InstanceSearch, estimate: PlacementEstimate): boolean {
+    const { service } = search;
+    const instance = service.find(estimate.candidate.instanceId);
+    if (instance === undefined || instance.healthAgeMs > COLD_CHECK_MS) return false;
+    if (!service.statesLoad) return estimate.freeSlots > 0;
+    return estimate.reportAgeMs < FRESH_REPORT_MS && this.isGood(search, estimate);
+  }
+
+  /** Whether an estimate promises an answer at usual pace, or one within the objective. */
+  private isGood({ objectiveAtMs }: InstanceSearch, estimate: PlacementEstimate): boolean {
+    const { candidate, freeSlots, finishMs } = estimate;
+    if (freeSlots <= 0) return false;
+    const slowdown = (candidate.report?.slowdown ?? 1) * candidate.speedFactor;
+    return slowdown <= GOOD_SLOWDOWN || finishMs <= (objectiveAtMs - this.now()) / 2;
+  }
+
+  /** Probes the most promising instances; the first good one wins. */
+  private async probeFirstGood(
+    search: InstanceSearch,
+    ranked: readonly PlacementEstimate[],
+  ): Promise<PlacementEstimate | undefined> {
+    const { service } = search;
+    const asked = ranked
+      .filter(({ reportAgeMs }) => reportAgeMs >= FRESH_REPORT_MS)
+      .slice(0, PROBE_WIDTH)
+      .flatMap(({ candidate }) => service.find(candidate.instanceId) ?? []);
+    if (asked.length === 0) return undefined;
+    return new Promise((resolve) => {
+      let pending = asked.length;
+      const timer = setTimeout(() => resolve(this.bestOf(search, asked)), PROBE_TIMEOUT_MS);
+      const settle = (estimate: PlacementEstimate | undefined): void => {
+        clearTimeout(timer);
+        resolve(estimate);
+      };
+      for (const instance of asked) {
+        this.options.prober.probe(service, instance).then(() => {
+          pending -= 1;
+          const [estimate] = this.rank(search, [instance]);
+          if (estimate !== undefined && this.isGoodNow(search, estimate)) settle(estimate);
+          else if (pending === 0) settle(this.bestOf(search, asked));
+        });
+      }
+    });
+  }
+
+  private bestOf(
+    search: InstanceSearch,
+    asked: readonly InstanceRuntime[],
+  ): PlacementEstimate | undefined {
+    return this.rank(search, asked).find((estimate) => this.isGoodNow(search, estimate));
+  }
+
+  private isStillUsable(search: InstanceSearch, { candidate }: PlacementEstimate): boolean {
+    return this.usableInstances(search).some(({ id }) => id === candidate.instanceId);
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- kept beside its only uses
+  private describe(
+    { service }: InstanceSearch,
+    estimate: PlacementEstimate,
+    reason: FoundInstance['reason'],
+  ): FoundInstance {
+    const instance = service.find(estimate.candidate.instanceId)!;
+    return {
+      instance,
+      expectedMs: estimate.finishMs,
+      reportAgeMs: estimate.reportAgeMs,
+      slowdown: instance.report?.slowdown ?? 1,
+      freeSlots: estimate.freeSlots,
+      reason,
+    };
+  }
+
+  private now(): number {
+    return this.options.clock.monotonicMs();
+  }
+}
--- /dev/null
+++ b/packages/gatewayDaemon/src/peerNetwork.ts
@@ -0,0 +1,150 @@
+import { createSocket } from 'node:dgram';
+import type { RemoteInfo, Socket } from 'node:dgram';
+import { once } from 'node:events';
+import { createServer, get } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+
+import { StepError, describeError } from '@bronzelift/common';
+import { LogComponent } from '@bronzelift/observability';
+import type { DecisionLog } from '@bronzelift/observability';
+
+import { MAX_DELTA_BYTES, MAX_PEER_STATE_BYTES, PEER_FETCH_TIMEOUT_MS } from './constants.js';
+import type { InstanceSnapshot, OperatorSnapshot } from './controlState.js';
+import { decodeMessage, encodeMessage } from './peerMessages.js';
+import type { PeerMessage } from './peerMessages.js';
+
+/** State of a peer; parts that are not newer than what the asker has are left out. */
+export interface PeerState {
+  readonly operator: OperatorSnapshot | undefined;
+  readonly instances: InstanceSnapshot | undefined;
+}
+
+/** What an asker has already. */
+export interface PeerStateQuery {
+  readonly operatorRevision: number;
+  readonly instanceDigest: number;
+  readonly instanceOffset: number;
+}
+
+/** Parameters of the network between entry VMs. */
+export interface PeerNetworkOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly log: DecisionLog;
+  readonly onMessage: (message: PeerMessage, fromHost: string) => void;
+  readonly answerState: (query: PeerStateQuery) => PeerState;
+}
+
+const STATE_PATH = '/state';
+
+const readJson = async (message: IncomingMessage): Promise<unknown> => {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of message) {
+    bytes += (chunk as Buffer).length;
+    if (bytes > MAX_PEER_STATE_BYTES) throw new Error('the state is too large');
+    chunks.push(chunk as Buffer);
+  }
+  return JSON.parse(Buffer.concat(chunks).toString('utf8'));
+};
+
+/**
+ * Heartbeats and differences as datagrams, whole states over HTTP. Control messages only; no
+ * request of a caller passes between entry VMs.
+ */
+export class PeerNetwork {
+  private readonly socket: Socket;
+
+  private readonly server: Server;
+
+  private isClosed = false;
+
+  private constructor(private readonly options: PeerNetworkOptions) {
+    this.socket = createSocket('udp4');
+    this.socket.on('message', (data, remote) => this.receive(data, remote));
+    this.socket.on('error', (error) => {
+      options.log.warn(LogComponent.member, 'datagram failed', { error: describeError(error) });
+    });
+    this.server = createServer((message, response) => this.answer(message, response));
+  }
+
+  /** Creates the network; it works after `open`. */
+  static create(options: PeerNetworkOptions): PeerNetwork {
+    return new PeerNetwork(options);
+  }
+
+  /** Opens both ports; rejects with a StepError when one is in use. */
+  async open(): Promise<void> {
+    const { host, port } = this.options;
+    try {
+      this.socket.bind(port, host);
+      await once(this.socket, 'listening');
+      this.server.listen(port, host);
+      await once(this.server, 'listening');
+    } catch (error) {
+      throw StepError.create('open peer ports', `${host}:${port}`, describeError(error), error);
+    }
+  }
+
+  /** Sends a message; false when it is too large. An unreachable peer shows as silence. */
+  send(hosts: readonly string[], message: PeerMessage): boolean {
+    if (this.isClosed) return true;
+    const data = encodeMessage(message);
+    if (data.length > MAX_DELTA_BYTES) return false;
+    for (const host of hosts) this.socket.send(data, this.options.port, host);
+    return true;
+  }
+
+  /** Fetches what is newer at a peer; rejects with a StepError. */
+  async fetchState(host: string, query: PeerStateQuery): Promise<PeerState> {
+    const { port } = this.options;
+    const path =
+      `${STATE_PATH}?revision=${query.operatorRevision}` +
+      `&digest=${query.instanceDigest}&offset=${query.instanceOffset}`;
+    try {
+      const request = get({ host, port, path, agent: false, timeout: PEER_FETCH_TIMEOUT_MS });
+      request.on('timeout', () => request.destroy(new Error('no answer within the time limit')));
+      const [response] = (await once(request, 'response')) as [IncomingMessage];
+      return (await readJson(response)) as PeerState;
+    } catch (error) {
+      throw StepError.create('fetch peer state', `${host}:${port}`, describeError(error), error);
+    }
+  }
+
+  /** Closes both ports. */
+  close(): void {
+    if (this.isClosed) return;
+    this.isClosed = true;
+    this.socket.close();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private receive(data: Buffer, remote: RemoteInfo): void {
+    const message = decodeMessage(data);
+    if (message !== undefined) {
+      this.options.onMessage(message, remote.address);
+      return;
+    }
+    this.options.log.warn(LogComponent.member, 'datagram not understood', {
+      from: remote.address,
+      bytes: data.length,
+    });
+  }
+
+  private answer(message: IncomingMessage, response: ServerResponse): void {
+    const url = new URL(message.url ?? '/', 'http://peer');
+    if (url.pathname !== STATE_PATH) {
+      response.writeHead(404).end();
+      return;
+    }
+    const read = (name: string): number => Number(url.searchParams.get(name) ?? 0);
+    const state = this.options.answerState({
+      operatorRevision: read('revision'),
+      instanceDigest: read('digest'),
+      instanceOffset: read('offset'),
+    });
+    response.setHeader('connection', 'close');
+    response.end(JSON.stringify(state));
+  }
+}
--- /dev/null
+++ b/packages/gatewayDaemon/src/storeReader.ts
@@ -0,0 +1,151 @@
+import { describeError, sleep } from '@bronzelift/common';
+import type { Clock } from '@bronzelift/common';
+import { LogComponent } from '@bronzelift/observability';
+import type { DecisionLog, Metrics } from '@bronzelift/observability';
+
+import {
+  INSTANCE_POLL_MS,
+  LAPSE_GRACE_MS,
+  NEVER_READ_AGE_MS,
+  OPERATOR_WATCH_MS,
+  READER_IDLE_CHECK_MS,
+  STORE_OUTAGE_MS,
+  STORE_RETRY_MS,
+} from './constants.js';
+import type { ControlState, InstanceDelta } from './controlState.js';
+import type { ControlStore } from './types.js';
+
+/** Parameters of the tasks that read the store. */
+export interface StoreReaderOptions {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly metrics: Metrics;
+  readonly store: ControlStore;
+  readonly state: ControlState;
+  /** Whether this entry VM is to read now. */
+  readonly shouldRead: () => boolean;
+  readonly onStoreCall: (hasSucceeded: boolean) => void;
+  /** Latest time at which any entry VM read the registrations. */
+  readonly storeReadAtMs: () => number;
+  /** Whether any entry VM could not reach the store lately. */
+  readonly isAnyStoreFailing: () => boolean;
+  /** Called after each read of the registrations, also without a change. */
+  readonly onInstancesRead: (delta: InstanceDelta) => void;
+  readonly onOperatorChange: () => void;
+}
+
+/**
+ * Two tasks, one for each stream of the store. Instances register again every second or so, so that
+ * a watch of the registrations would return all the time: they are read at a slow pace. Operators'
+ * records are rare and are watched.
+ */
+export class StoreReader {
+  private readonly stopped = new AbortController();
+
+  private lastReadAtMs = -Infinity;
+
+  private outageEndedAtMs = -Infinity;
+
+  private hasFailed = false;
+
+  private constructor(private readonly options: StoreReaderOptions) {}
+
+  /** Creates the tasks; they run after `start`. */
+  static create(options: StoreReaderOptions): StoreReader {
+    return new StoreReader(options);
+  }
+
+  /** Starts both tasks. */
+  start(): void {
+    this.run(() => this.readInstances(), INSTANCE_POLL_MS);
+    this.run(() => this.watchOperator(), 0);
+  }
+
+  /** Time since the registrations were read; NEVER_READ_AGE_MS before the first read. */
+  get readAgeMs(): number {
+    const ageMs = this.options.clock.monotonicMs() - this.lastReadAtMs;
+    return Math.min(ageMs, NEVER_READ_AGE_MS);
+  }
+
+  /** Ends both tasks after their current call. */
+  stop(): void {
+    this.stopped.abort();
+  }
+
+  /** One task: repeats a read while this entry VM is to read. */
+  private async run(read: () => Promise<void>, pauseMs: number): Promise<void> {
+    const { signal } = this.stopped;
+    let failures = 0;
+    while (!signal.aborted) {
+      if (!this.options.shouldRead()) {
+        failures = 0;
+        await sleep(READER_IDLE_CHECK_MS, signal);
+        continue;
+      }
+      try {
+        await read();
+        failures = 0;
+        this.noteSuccess();
+        await sleep(pauseMs, signal);
+      } catch (error) {
+        failures += 1;
+        this.noteFailure(error);
+        await sleep(failures === 1 ? STORE_RETRY_MS : INSTANCE_POLL_MS, signal);
+      }
+    }
+  }
+
+  private async readInstances(): Promise<void> {
+    const { store, state } = this.options;
+    const offset = state.nextInstanceOffset;
+    const read = offset === undefined ? undefined : await store.readInstances(offset);
+    if (read?.kind === 'page') {
+      const isAfterOutage = this.noteInstanceRead();
+      this.options.onInstancesRead(state.applyInstanceChanges(read, isAfterOutage));
+      return;
+    }
+    const newest = await store.readNewestInstances();
+    const isAfterOutage = this.noteInstanceRead();
+    this.options.onInstancesRead(state.replaceInstances(newest, isAfterOutage));
+  }
+
+  private async watchOperator(): Promise<void> {
+    const { store, state } = this.options;
+    const offset = state.nextOperatorOffset;
+    const before = state.revision;
+    const read =
+      offset === undefined ? undefined : await store.watchOperator(offset, OPERATOR_WATCH_MS);
+    if (read?.kind === 'page') state.applyOperatorChanges(read);
+    else state.replaceOperatorState(await store.readNewestOperator());
+    if (state.revision !== before) this.options.onOperatorChange();
+    // Without a configuration the stream is empty; the first record ends the next watch.
+  }
+
+  /** Notes a successful read; true while removals may be lapses during an outage. */
+  private noteInstanceRead(): boolean {
+    const nowMs = this.options.clock.monotonicMs();
+    const gapMs = nowMs - this.options.storeReadAtMs();
+    if (gapMs > STORE_OUTAGE_MS && this.options.isAnyStoreFailing()) this.outageEndedAtMs = nowMs;
+    this.lastReadAtMs = nowMs;
+    return nowMs - this.outageEndedAtMs < LAPSE_GRACE_MS;
+  }
+
+  private noteSuccess(): void {
+    if (this.hasFailed) {
+      this.options.log.info(LogComponent.log, 'store reachable again');
+    }
+    this.hasFailed = false;
+    this.options.onStoreCall(true);
+  }
+
+  private noteFailure(error: unknown): void {
+    if (!this.hasFailed) {
+      this.options.log.warn(LogComponent.log, 'store not reachable', {
+        error: describeError(error),
+      });
+    }
+    this.hasFailed = true;
+    this.options.metrics.counter('bronzelift_store_failures_total').increment();
+    this.options.onStoreCall(false);
+  }
+}
--- /dev/null
+++ b/packages/gatewayDaemon/src/utils.ts
@@ -0,0 +1,25 @@
+import type { InstanceRecord } from './types.js';
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** FNV-1a hash of a text as an unsigned 32-bit number. */
+export const hashText = (text: string): number => {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    // eslint-disable-next-line no-bitwise -- FNV-1a is defined on 32-bit words
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  // eslint-disable-next-line no-bitwise -- to an unsigned number
+  return hash >>> 0;
+};
+
+/** Digest of a set of registrations; equal sets have equal digests, in any order. */
+export const digestInstances = (records: Iterable<InstanceRecord>): number => {
+  let sum = 0;
+  for (const record of records) {
+    const { id, startedAtWallMs, isDraining, endpoint } = record;
+    sum += hashText(`${id} ${startedAtWallMs} ${isDraining} ${endpoint.host}:${endpoint.port}`);
+  }
+  return sum % Number.MAX_SAFE_INTEGER;
+};
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -90,3 +90,24 @@
 
 /** Part of the remaining time kept back for each further hop, to carry the response. */
 export const HOP_MARGIN_MS = 3;
+
+/**
+ * A stated pace loses its weight with this time constant. On shared hosts the pace changes about
+ * every 150 ms; half of that is the mean time that a pace still lasts.
+ */
+export const PACE_MEMORY_MS = 150;
+
+/** Added cost of another failure domain as a share of the work; traffic between domains is dear. */
+export const CROSS_DOMAIN_COST_SHARE = 0.4;
+
+/** Bound of slowdowns and speed factors, so that one outlier does not decide. */
+export const MAX_SLOWDOWN = 20;
+
+/** Weight of the latest response in an instance's speed factor; work itself varies by a third. */
+export const SLOWDOWN_WEIGHT = 0.15;
+
+/** Weight of the latest stated slowdown in the mean of a service. */
+export const USUAL_SLOWDOWN_WEIGHT = 0.02;
+
+/** Added cost of an instance that fails all requests, as a multiple of the time that they take. */
+export const FAILURE_COST = 8;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,5 +6,7 @@
 export * from './instanceSelector.js';
 export * from './latencyQuantile.js';
 export * from './observeAttempt.js';
+export * from './placement.js';
+export * from './weightedSplit.js';
 export * from './retryBudget.js';
 export type * from './types.js';
--- a/packages/routing/src/instanceSelector.ts
+++ b/packages/routing/src/instanceSelector.ts
@@ -31,6 +31,11 @@
 export interface InstanceSelectorOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
+  /**
+   * Whether slow instances are ejected; default true. Not useful where responses tell the pace of
+   * an instance: there every instance is slow at times, and placement avoids it only meanwhile.
+   */
+  readonly ejectsSlow?: boolean;
   readonly onEjectionChange?: (change: EjectionChange) => void;
 }
 
@@ -69,6 +74,19 @@
     return state !== undefined && state.ejection === undefined;
   }
 
+  /** Whether an ejected instance is due for a single trial request. */
+  isTrialDue(instanceId: InstanceId): boolean {
+    const ejection = this.states.get(instanceId)?.ejection;
+    if (ejection === undefined || ejection.trialAtMs > this.now()) return false;
+    const { trialStartedAtMs } = ejection;
+    return trialStartedAtMs === undefined || this.now() - trialStartedAtMs >= TRIAL_TIMEOUT_MS;
+  }
+
+  /** Failures in a row that an instance had last; 0 after a response. */
+  failuresInRow(instanceId: InstanceId): number {
+    return this.states.get(instanceId)?.consecutiveFailures ?? 0;
+  }
+
   /** Chooses among instances with free slots; undefined when none may be used. */
   select(candidates: readonly Candidate[], options: SelectOptions): Selection | undefined {
     const free = candidates.filter(
@@ -161,6 +179,7 @@
   }
 
   private isSlow(latencyMs: number): boolean {
+    if (this.options.ejectsSlow === false) return false;
     const medianMs = this.medianLatencyMs();
     if (medianMs === undefined) return false;
     return latencyMs > medianMs * SLOW_FACTOR && latencyMs > medianMs + SLOW_MARGIN_MS;
@@ -206,13 +225,7 @@
   }
 
   private findTrial(free: readonly Candidate[]): Candidate | undefined {
-    const nowMs = this.now();
-    return free.find(({ instanceId }) => {
-      const ejection = this.states.get(instanceId)?.ejection;
-      if (ejection === undefined || ejection.trialAtMs > nowMs) return false;
-      const { trialStartedAtMs } = ejection;
-      return trialStartedAtMs === undefined || nowMs - trialStartedAtMs >= TRIAL_TIMEOUT_MS;
-    });
+    return free.find(({ instanceId }) => this.isTrialDue(instanceId));
   }
 
   private pick(candidates: readonly Candidate[]): Candidate | undefined {
--- /dev/null
+++ b/packages/routing/src/placement.ts
@@ -0,0 +1,159 @@
+import type { InstanceId, RandomSource } from '@bronzelift/common';
+import { shuffle } from '@bronzelift/common';
+
+import {
+  CROSS_DOMAIN_COST_SHARE,
+  FAILURE_COST,
+  MAX_SLOWDOWN,
+  PACE_MEMORY_MS,
+  SLOWDOWN_WEIGHT,
+  USUAL_SLOWDOWN_WEIGHT,
+} from './constants.js';
+
+/** Load of an instance as it stated it last. */
+export interface LoadReport {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+  /** Time that work takes now relative to the usual time there; 1 when it is not told. */
+  readonly slowdown: number;
+  /** Monotonic time of receipt. */
+  readonly atMs: number;
+}
+
+/** One instance as a choice for a request. */
+export interface PlacementCandidate {
+  readonly instanceId: InstanceId;
+  readonly slots: number;
+  readonly report: LoadReport | undefined;
+  /** Own requests in flight that the report cannot contain. */
+  readonly sentSinceReport: number;
+  /** Own requests in flight. */
+  readonly ownInFlight: number;
+  /** Learned time for the same work relative to other instances; 1 is usual. */
+  readonly speedFactor: number;
+  /** Share of failures among the latest requests, 0 to 1. */
+  readonly failureShare: number;
+  readonly isLocalDomain: boolean;
+}
+
+/** What a request needs from an instance. */
+export interface PlacementNeed {
+  /** Time that the work takes at usual pace. */
+  readonly workMs: number;
+  /** Slowdown to expect of an instance of which nothing recent is known. */
+  readonly usualSlowdown: number;
+  /** Slots that have to stay free for requests of higher priority. */
+  readonly reservedSlots: number;
+  readonly nowMs: number;
+}
+
+/** Estimate for one candidate. */
+export interface PlacementEstimate {
+  readonly candidate: PlacementCandidate;
+  /** Expected time until the response. */
+  readonly finishMs: number;
+  /** Expected time with the price of distance added; the order of preference. */
+  readonly costMs: number;
+  readonly freeSlots: number;
+  /** Age of the report; Infinity without one. */
+  readonly reportAgeMs: number;
+}
+
+/**
+ * Estimates when a request would be finished at an instance. Answers the load that shifts within
+ * milliseconds: a stated pace fades towards the usual one, since it changes several times a second.
+ */
+export const estimatePlacement = (
+  candidate: PlacementCandidate,
+  need: PlacementNeed,
+): PlacementEstimate => {
+  const { report } = candidate;
+  const reportAgeMs = report === undefined ? Infinity : need.nowMs - report.atMs;
+  const trust = Math.exp(-reportAgeMs / PACE_MEMORY_MS);
+  const stated = report?.slowdown ?? need.usualSlowdown;
+  const slowdown = need.usualSlowdown + (stated - need.usualSlowdown) * trust;
+  const slots = report?.slots ?? candidate.slots;
+  const busy =
+    report === undefined
+      ? candidate.ownInFlight
+      : Math.max((report.running + report.waiting) * trust, 0) + candidate.sentSinceReport;
+  const workMs = need.workMs * slowdown * candidate.speedFactor;
+  const queued = Math.max(busy - slots + 1, 0);
+  const finishMs = workMs * (1 + queued / Math.max(slots, 1));
+  const distanceShare = candidate.isLocalDomain ? 0 : CROSS_DOMAIN_COST_SHARE;
+  return {
+    candidate,
+    finishMs,
+    costMs:
+      finishMs * (1 + FAILURE_COST * candidate.failureShare) + need.workMs * distanceShare,
+    freeSlots: slots - busy - need.reservedSlots,
+    reportAgeMs,
+  };
+};
+
+/**
+ * Candidates in the order of preference. Equal ones come in random order, so that entry VMs with
+ * the same knowledge do not choose the same instance.
+ */
+export const rankPlacements = (
+  candidates: readonly PlacementCandidate[],
+  need: PlacementNeed,
+  random: RandomSource,
+): PlacementEstimate[] =>
+  shuffle(random, candidates)
+    .map((candidate) => estimatePlacement(candidate, need))
+    .sort((left, right) => left.costMs - right.costMs);
+
+/** Learns how much longer an instance takes than its stated pace explains. */
+export class SpeedTracker {
+  private factor = 1;
+
+  private constructor() {
+    // Created through `create`.
+  }
+
+  /** Creates a tracker of an instance that is as fast as the others. */
+  static create(): SpeedTracker {
+    return new SpeedTracker();
+  }
+
+  /** Relative time for the same work; 1 is usual. */
+  get speedFactor(): number {
+    return this.factor;
+  }
+
+  /** Counts a response: the time it took and the time expected at the pace when it was sent. */
+  observe(tookMs: number, expectedMs: number): void {
+    const ratio = Math.min(Math.max(tookMs / Math.max(expectedMs, 1), 1 / MAX_SLOWDOWN), MAX_SLOWDOWN);
+    this.factor += SLOWDOWN_WEIGHT * (ratio - this.factor);
+  }
+
+  /** Forgets what was learned, when the process behind the instance is another one. */
+  reset(): void {
+    this.factor = 1;
+  }
+}
+
+/** Mean of the stated slowdowns of a service, for instances without a recent report. */
+export class UsualSlowdown {
+  private mean = 1;
+
+  private constructor() {
+    // Created through `create`.
+  }
+
+  /** Creates a mean of 1. */
+  static create(): UsualSlowdown {
+    return new UsualSlowdown();
+  }
+
+  get value(): number {
+    return this.mean;
+  }
+
+  /** Counts a stated slowdown. */
+  observe(slowdown: number): void {
+    this.mean += USUAL_SLOWDOWN_WEIGHT * (Math.min(slowdown, MAX_SLOWDOWN) - this.mean);
+  }
+}
--- a/packages/routing/src/retryBudget.ts
+++ b/packages/routing/src/retryBudget.ts
@@ -6,7 +6,7 @@
 
   private constructor(
     private readonly ratio: number,
-    private readonly burst: number,
+    private burst: number,
   ) {
     this.tokens = burst;
   }
@@ -16,6 +16,12 @@
     return new RetryBudget(ratio, burst);
   }
 
+  /** Changes how many retries may follow each other; tokens above it are lost, none are added. */
+  setBurst(burst: number): void {
+    this.burst = burst;
+    this.tokens = Math.min(this.tokens, burst);
+  }
+
   /** Counts a request, not an attempt. */
   addRequest(): void {
     this.tokens = Math.min(this.tokens + this.ratio, this.burst);
