Tell an empty operators' stream from an unread one, so that peers see the first configuration

Cause: a member that had read the empty stream and one that had read the first record both stood at revision 1, so that non-readers never fetched the first configuration from their peers. Ruled out: store calls failing (none did). Change: the revision counts from 1 for an empty stream.

--- a/packages/gatewayDaemon/src/controlState.ts
+++ b/packages/gatewayDaemon/src/controlState.ts
@@ -168,7 +168,8 @@
     }
     this.operatorOffset = page.nextOffset;
     if (page.changes.length > 0 || this.operatorRevision === 0) {
-      this.operatorRevision = Math.max(page.nextOffset, 1);
+      // Read at all counts as 1, so that a stream without records differs from an unread one.
+      this.operatorRevision = page.nextOffset + 1;
     }
     if (hasDomainChange) this.listener.onDomains([...this.domainsOut]);
   }
