--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,15 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['**/node_modules/**', 'packages/protocol/src/gen/**', 'reports/**', '**/bin/*.js'] },
+  {
+    ignores: [
+      '**/node_modules/**',
+      'packages/protocol/src/gen/**',
+      'reports/**',
+      'target/**',
+      '**/bin/*.js',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -3,12 +3,7 @@
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 
-import {
-  HEARTBEAT_MS,
-  MEMBER_SEARCH_MS,
-  PEER_WAIT_MS,
-  READER_SILENT_MS,
-} from './constants.js';
+import { HEARTBEAT_MS, MEMBER_SEARCH_MS, PEER_WAIT_MS, READER_SILENT_MS } from './constants.js';
 import type { ControlState, InstanceDelta } from './controlState.js';
 import type { MemberStatus, MemberTable } from './memberTable.js';
 import type { PeerMessage } from './peerMessages.js';
@@ -52,8 +47,7 @@
       log,
       onMessage: (message, fromHost) => this.receive(message, fromHost),
       answerState: (query) => ({
-        operator:
-          state.revision > query.operatorRevision ? state.operatorSnapshot() : undefined,
+        operator: state.revision > query.operatorRevision ? state.operatorSnapshot() : undefined,
         instances: state.digest !== query.instanceDigest ? state.instanceSnapshot() : undefined,
       }),
     });
--- a/packages/gatewayDaemon/src/controlState.ts
+++ b/packages/gatewayDaemon/src/controlState.ts
@@ -40,7 +40,10 @@
 export interface ControlStateListener {
   readonly onConfiguration: (configuration: GatewayConfiguration) => void;
   readonly onDomains: (domainsOut: readonly FailureDomainId[]) => void;
-  readonly onInstances: (changed: readonly InstanceRecord[], removed: readonly InstanceId[]) => void;
+  readonly onInstances: (
+    changed: readonly InstanceRecord[],
+    removed: readonly InstanceId[],
+  ) => void;
   /** A record that names nothing to use. */
   readonly onUnreadable: (key: string, problem: string) => void;
 }
@@ -188,7 +191,8 @@
    */
   applyInstanceChanges(page: StreamPage<InstanceChange>, isAfterOutage: boolean): InstanceDelta {
     return this.changeInstances(page.nextOffset, (changed, removed) => {
-      for (const change of page.changes) this.applyInstance(change, isAfterOutage, changed, removed);
+      for (const change of page.changes)
+        this.applyInstance(change, isAfterOutage, changed, removed);
     });
   }
 
@@ -198,7 +202,8 @@
       page.changes.flatMap((change) => (change.kind === 'registered' ? [change.record.id] : [])),
     );
     return this.changeInstances(page.nextOffset, (changed, removed) => {
-      for (const change of page.changes) this.applyInstance(change, isAfterOutage, changed, removed);
+      for (const change of page.changes)
+        this.applyInstance(change, isAfterOutage, changed, removed);
       for (const id of [...this.known.keys()]) {
         if (!listed.has(id)) this.remove(id, isAfterOutage, removed);
       }
@@ -272,7 +277,8 @@
 
   /** Takes over the registrations of another entry VM if they are newer. */
   adoptInstanceSnapshot(snapshot: InstanceSnapshot): boolean {
-    if (this.instanceOffset !== undefined && snapshot.nextOffset < this.instanceOffset) return false;
+    if (this.instanceOffset !== undefined && snapshot.nextOffset < this.instanceOffset)
+      return false;
     const listed = new Set(snapshot.instances.map(({ id }) => id));
     this.changeInstances(snapshot.nextOffset, (changed, removed) => {
       for (const record of snapshot.instances) this.register(record, changed);
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -185,9 +185,7 @@
     while (this.front.inFlight > 0 && clock.monotonicMs() - startedAtMs < limitMs) {
       await this.wait(STOP_CHECK_MS);
     }
-    this.control.stop();
-    clearInterval(this.sweepTimer);
-    for (const server of this.servers) server.close();
+    this.release();
     this.log.info(LogComponent.daemon, 'stopped', {
       inFlight: this.front.inFlight,
       tookMs: clock.monotonicMs() - startedAtMs,
@@ -195,6 +193,20 @@
     await this.log.close(LOG_CLOSE_MS);
   }
 
+  /** Ends all tasks at once, as a failed start or a test does; requests in flight are cut off. */
+  abort(): void {
+    this.isStopping = true;
+    this.release();
+    for (const server of this.servers) server.closeAllConnections();
+  }
+
+  private release(): void {
+    this.control.stop();
+    clearInterval(this.sweepTimer);
+    for (const service of this.services.values()) service.close();
+    for (const server of this.servers) server.close();
+  }
+
   private get isReady(): boolean {
     return this.state.isComplete && !this.isStopping;
   }
--- a/packages/gatewayDaemon/src/instanceFinder.ts
+++ b/packages/gatewayDaemon/src/instanceFinder.ts
@@ -172,14 +172,14 @@
         clearTimeout(timer);
         resolve(estimate);
       };
-      for (const instance of asked) {
+      asked.forEach((instance) => {
         this.options.prober.probe(service, instance).then(() => {
           pending -= 1;
-          const [estimate] = this.rank(search, [instance]);
-          if (estimate !== undefined && this.isGoodNow(search, estimate)) settle(estimate);
+          const good = this.bestOf(search, [instance]);
+          if (good !== undefined) settle(good);
           else if (pending === 0) settle(this.bestOf(search, asked));
         });
-      }
+      });
     });
   }
 
--- a/packages/gatewayDaemon/src/memberTable.ts
+++ b/packages/gatewayDaemon/src/memberTable.ts
@@ -173,8 +173,7 @@
       ({ failureDomainId }) => failureDomainId === location.failureDomainId,
     );
     const inRegion = ready.filter(
-      ({ failureDomainId }) =>
-        this.options.regionOfDomain.get(failureDomainId) === location.region,
+      ({ failureDomainId }) => this.options.regionOfDomain.get(failureDomainId) === location.region,
     );
     const named = [inDomain, inRegion, ready].find(({ length }) => length > 0) ?? [];
     return shuffle(this.options.random, named).map(({ callerEndpoint }) => callerEndpoint);
--- a/packages/gatewayDaemon/src/peerMessages.ts
+++ b/packages/gatewayDaemon/src/peerMessages.ts
@@ -38,7 +38,7 @@
   const phaseName = PHASES[Number(phase)];
   if (callerEndpoint === undefined || phaseName === undefined) return undefined;
   if (!numbers.every((value) => typeof value === 'number')) return undefined;
-  const [isStoreFailing, isReader, storeReadAgeMs, revision, offset, digest] = numbers as number[];
+  const [isStoreFailing, isReader, storeReadAgeMs, revision, offset, digest] = numbers;
   return {
     vmId: String(vmId),
     incarnation: String(incarnation),
--- a/packages/gatewayDaemon/src/requestHandler.ts
+++ b/packages/gatewayDaemon/src/requestHandler.ts
@@ -1,7 +1,6 @@
 import type { BackendAttempt, BackendRequest } from '@bronzelift/backend-client';
 import { assertNever, createLinkedAbort, settlesWithin } from '@bronzelift/common';
 import type { Clock, InstanceId, RandomSource, ServiceName } from '@bronzelift/common';
-import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 import { WeightedSplit, decideRetry, observeAttempt } from '@bronzelift/routing';
 
@@ -21,14 +20,10 @@
 } from './constants.js';
 import type { ControlState } from './controlState.js';
 import type { FoundInstance, InstanceFinder, SearchMiss } from './instanceFinder.js';
+import { RequestLog } from './requestLog.js';
 import type { ServiceRuntime } from './serviceRuntime.js';
-import type {
-  CallerRequest,
-  FailureReason,
-  GatewayAnswer,
-  RefusalReason,
-  Route,
-} from './types.js';
+import { Work } from './work.js';
+import type { CallerRequest, FailureReason, GatewayAnswer, RefusalReason, Route } from './types.js';
 
 /** Parameters of the request path. */
 export interface RequestHandlerOptions {
@@ -41,23 +36,6 @@
   readonly findService: (name: ServiceName) => ServiceRuntime | undefined;
 }
 
-/** A request on its way, with what its attempts have shown so far. */
-interface Work {
-  readonly request: CallerRequest;
-  readonly route: Route;
-  readonly service: ServiceRuntime;
-  readonly deadlineAtMs: number;
-  readonly objectiveAtMs: number;
-  /** The caller was refused before and came back, as its shorter wait shows. */
-  readonly hasReturned: boolean;
-  /** Instances that it was to be sent to. */
-  readonly tried: Set<InstanceId>;
-  /** Sends that reached an instance, or may have. */
-  sends: number;
-  /** An attempt was sent and ended without proof that it did not run. */
-  mayHaveRun: boolean;
-}
-
 /** A send and how it ended. */
 interface Sent {
   readonly attempt: BackendAttempt;
@@ -71,7 +49,12 @@
 export class RequestHandler {
   private readonly splits = new WeakMap<Route, WeightedSplit>();
 
-  private constructor(private readonly options: RequestHandlerOptions) {}
+  private readonly requestLog: RequestLog;
+
+  private constructor(private readonly options: RequestHandlerOptions) {
+    const { log, state } = options;
+    this.requestLog = RequestLog.create(log, () => state.configuration?.version);
+  }
 
   /** Creates the request path. */
   static create(options: RequestHandlerOptions): RequestHandler {
@@ -84,11 +67,7 @@
     if (!state.isComplete) return this.refuseWithoutState(request);
     const route = state.routes.find(host, request.path);
     if (route === undefined) {
-      this.options.log.info(LogComponent.route, 'no route', {
-        request: request.requestId,
-        host,
-        version: state.configuration?.version,
-      });
+      this.requestLog.notFound(request, host);
       return { kind: 'not-found' };
     }
     const service = findService(this.splitOf(route).next() ?? '');
@@ -96,17 +75,14 @@
     service.retries.addRequest();
     const waitMs = Math.min(request.callerWaitMs, route.timeoutMs);
     const waitedBeforeMs = service.waitedBeforeMs(route, request.callerWaitMs);
-    const work: Work = {
+    const work = Work.create({
       request,
       route,
       service,
       deadlineAtMs: request.arrivedAtMs + waitMs,
       objectiveAtMs: request.arrivedAtMs + route.latencyObjectiveMs - waitedBeforeMs,
       hasReturned: waitedBeforeMs > 0,
-      tried: new Set(),
-      sends: 0,
-      mayHaveRun: false,
-    };
+    });
     return this.run(work);
   }
 
@@ -169,20 +145,20 @@
 
   /** One send on one instance. Never rejects. */
   private async send(work: Work, found: FoundInstance, signal: AbortSignal): Promise<Sent> {
-    const { service, route, request } = work;
+    const { service, route } = work;
     const { instance } = found;
     work.tried.add(instance.id);
     const isTrial = service.selector.isTrialDue(instance.id);
     const handle = service.selector.begin({ instanceId: instance.id, isTrial });
     const end = instance.begin(service.coldLimit(instance));
-    this.logSend(work, found);
+    this.requestLog.sent(work, found, this.now());
     const attempt = await instance.send(
       this.toBackendRequest(work, instance.id),
       route.isIdempotent,
       signal,
     );
     end();
-    if (attempt.kind !== 'not-sent') work.sends += 1;
+    work.noteAttempt(attempt);
     this.observe(work, { attempt, found });
     handle.end(
       isServerError(attempt) && !route.isIdempotent
@@ -275,10 +251,7 @@
     ]);
     const { attempt } = earlier.sent;
     const isAnswer = attempt.kind === 'answered' && !isServerError(attempt);
-    if (!isAnswer) {
-      work.mayHaveRun ||= attempt.kind !== 'not-sent' && attempt.kind !== 'refused';
-      return earlier.other;
-    }
+    if (!isAnswer) return earlier.other;
     earlier.otherAbort.abort();
     return earlier.sent;
   }
@@ -288,7 +261,6 @@
     const { request, route, service } = work;
     const hasAttempts = work.sends < route.maxAttempts && work.tried.size < MAX_TRIED;
     const isRepeatable = isServerError(attempt) && route.isIdempotent && hasAttempts;
-    work.mayHaveRun ||= attempt.kind === 'failed-after-send' || attempt.kind === 'too-large';
     const outcome = isRepeatable ? ({ kind: 'failed-after-send' } as const) : attempt;
     const decision = decideRetry(outcome, {
       isOrder: !route.isIdempotent,
@@ -299,7 +271,7 @@
       isCallerPresent: !request.signal.aborted,
       takeRetryToken: () => service.retries.take(),
     });
-    this.logEnd(work, attempt, found, decision.kind);
+    this.requestLog.ended(work, attempt, found, decision.kind);
     switch (decision.kind) {
       case 'retry':
         return 'retry';
@@ -345,43 +317,28 @@
 
   /** Refuses a request that no instance has run, with a time at which it may find a slot. */
   private refuse(work: Work, reason: RefusalReason): GatewayAnswer {
-    const { route, service, request } = work;
+    const { route, service } = work;
     const workMs = service.workMs(route);
     const predictedWaitMs = route.latencyObjectiveMs * RETRY_AFTER_MIN_SHARE;
     const leftMs = Math.max(work.deadlineAtMs - this.now(), 0);
     const pacedMs = service.refusals.refuse(predictedWaitMs, workMs / this.countSlots(service));
     const retryAfterMs = Math.min(pacedMs, leftMs * RETRY_AFTER_TIME_SHARE);
-    this.options.log.info(LogComponent.admit, 'refused', {
-      request: request.requestId,
-      route: route.name,
-      service: service.name,
-      reason,
-      waitedMs: this.now() - request.arrivedAtMs,
-      leftMs,
-      utilization: service.utilization,
-      retryAfterMs,
-    });
+    this.requestLog.refused(work, reason, retryAfterMs, this.now());
     this.count(work, `refused-${reason}`);
     return { kind: 'refused', reason, retryAfterMs };
   }
 
   private fail(work: Work, reason: FailureReason): GatewayAnswer {
-    const { request, route, service } = work;
-    this.options.log.info(LogComponent.route, 'failed', {
-      request: request.requestId,
-      route: route.name,
-      service: service.name,
-      reason,
-      tookMs: this.now() - request.arrivedAtMs,
-    });
+    const { lastAnswer } = work;
+    // An instance's own failure tells the caller more than that there was no other instance.
+    if (lastAnswer !== undefined) return this.pass(work, lastAnswer);
+    this.requestLog.failed(work, reason, this.now());
     this.count(work, `failed-${reason}`);
     return { kind: 'failed', reason };
   }
 
   private refuseWithoutState(request: CallerRequest): GatewayAnswer {
-    this.options.log.info(LogComponent.admit, 'refused: state not known yet', {
-      request: request.requestId,
-    });
+    this.requestLog.withoutState(request);
     const retryAfterMs = RETRY_AFTER_WITHOUT_STATE_MS * (1 + this.options.random.next());
     return { kind: 'refused', reason: 'no-state', retryAfterMs };
   }
@@ -402,42 +359,6 @@
       .recordMs(this.now() - request.arrivedAtMs);
   }
 
-  private logSend({ request, route, service, deadlineAtMs }: Work, found: FoundInstance): void {
-    this.options.log.info(LogComponent.route, 'sent to instance', {
-      request: request.requestId,
-      route: route.name,
-      service: service.name,
-      instance: found.instance.id,
-      domain: found.instance.record.failureDomainId,
-      reason: found.reason,
-      reportAgeMs: Math.round(found.reportAgeMs),
-      slowdown: found.slowdown,
-      freeSlots: found.freeSlots,
-      expectedMs: Math.round(found.expectedMs),
-      cold: found.instance.isCold,
-      leftMs: Math.round(deadlineAtMs - this.now()),
-      version: this.options.state.configuration?.version,
-    });
-  }
-
-  private logEnd(
-    { request, service }: Work,
-    attempt: BackendAttempt,
-    found: FoundInstance,
-    decision: string,
-  ): void {
-    this.options.log.info(LogComponent.backend, `attempt ${attempt.kind}`, {
-      request: request.requestId,
-      service: service.name,
-      instance: found.instance.id,
-      status: 'response' in attempt ? attempt.response.status : undefined,
-      reason: 'reason' in attempt ? attempt.reason : undefined,
-      detail: 'detail' in attempt ? attempt.detail : undefined,
-      tookMs: Math.round(attempt.durationMs),
-      decision,
-    });
-  }
-
   private now(): number {
     return this.options.clock.monotonicMs();
   }
--- a/packages/gatewayDaemon/src/serviceRuntime.ts
+++ b/packages/gatewayDaemon/src/serviceRuntime.ts
@@ -201,6 +201,11 @@
     this.currentUtilization += UTILIZATION_WEIGHT * (share - this.currentUtilization);
   }
 
+  /** Closes idle connections; requests in flight are finished. */
+  close(): void {
+    for (const instance of this.instancesById.values()) instance.close();
+  }
+
   private updateSelector(): void {
     this.selector.setInstances([...this.instancesById.keys()]);
   }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,6 +7,8 @@
 export * from './latencyQuantile.js';
 export * from './observeAttempt.js';
 export * from './placement.js';
+export * from './usualSlowdown.js';
 export * from './weightedSplit.js';
 export * from './retryBudget.js';
+export * from './speedTracker.js';
 export type * from './types.js';
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -1,14 +1,7 @@
 import type { InstanceId, RandomSource } from '@bronzelift/common';
 import { shuffle } from '@bronzelift/common';
 
-import {
-  CROSS_DOMAIN_COST_SHARE,
-  FAILURE_COST,
-  MAX_SLOWDOWN,
-  PACE_MEMORY_MS,
-  SLOWDOWN_WEIGHT,
-  USUAL_SLOWDOWN_WEIGHT,
-} from './constants.js';
+import { CROSS_DOMAIN_COST_SHARE, FAILURE_COST, PACE_MEMORY_MS } from './constants.js';
 
 /** Load of an instance as it stated it last. */
 export interface LoadReport {
@@ -85,8 +78,7 @@
   return {
     candidate,
     finishMs,
-    costMs:
-      finishMs * (1 + FAILURE_COST * candidate.failureShare) + need.workMs * distanceShare,
+    costMs: finishMs * (1 + FAILURE_COST * candidate.failureShare) + need.workMs * distanceShare,
     freeSlots: slots - busy - need.reservedSlots,
     reportAgeMs,
   };
@@ -104,56 +96,3 @@
   shuffle(random, candidates)
     .map((candidate) => estimatePlacement(candidate, need))
     .sort((left, right) => left.costMs - right.costMs);
-
-/** Learns how much longer an instance takes than its stated pace explains. */
-export class SpeedTracker {
-  private factor = 1;
-
-  private constructor() {
-    // Created through `create`.
-  }
-
-  /** Creates a tracker of an instance that is as fast as the others. */
-  static create(): SpeedTracker {
-    return new SpeedTracker();
-  }
-
-  /** Relative time for the same work; 1 is usual. */
-  get speedFactor(): number {
-    return this.factor;
-  }
-
-  /** Counts a response: the time it took and the time expected at the pace when it was sent. */
-  observe(tookMs: number, expectedMs: number): void {
-    const ratio = Math.min(Math.max(tookMs / Math.max(expectedMs, 1), 1 / MAX_SLOWDOWN), MAX_SLOWDOWN);
-    this.factor += SLOWDOWN_WEIGHT * (ratio - this.factor);
-  }
-
-  /** Forgets what was learned, when the process behind the instance is another one. */
-  reset(): void {
-    this.factor = 1;
-  }
-}
-
-/** Mean of the stated slowdowns of a service, for instances without a recent report. */
-export class UsualSlowdown {
-  private mean = 1;
-
-  private constructor() {
-    // Created through `create`.
-  }
-
-  /** Creates a mean of 1. */
-  static create(): UsualSlowdown {
-    return new UsualSlowdown();
-  }
-
-  get value(): number {
-    return this.mean;
-  }
-
-  /** Counts a stated slowdown. */
-  observe(slowdown: number): void {
-    this.mean += USUAL_SLOWDOWN_WEIGHT * (Math.min(slowdown, MAX_SLOWDOWN) - this.mean);
-  }
-}
