Tell a reset from an orderly end behind a body without a length

Ruled out: chunked or sized bodies (checked by length), a lost error event (a trial with a delayed reset shows the error). Change: at the end of the stream the connection is asked for its peer; after a reset there is none. Test 'unframed-reset-at-once' failed before (200 instead of 502) and passes.

--- a/packages/backendClient/src/backendPool.ts
+++ b/packages/backendClient/src/backendPool.ts
@@ -112,7 +112,14 @@
     const sentAtMs = this.now();
     const { endpoint, clock, maxBodyBytes = DEFAULT_MAX_BODY_BYTES } = this.options;
     const { dialect = ownDialect } = this.options;
-    const context = { socket: known.socket, endpoint, clock, maxBodyBytes, dialect };
+    const context = {
+      socket: known.socket,
+      endpoint,
+      clock,
+      maxBodyBytes,
+      dialect,
+      isEndedByReset: () => known.isEndedByReset,
+    };
     const result = await sendAttempt(request, context, signal);
     return this.conclude(known, result, sentAtMs);
   }
--- a/packages/backendClient/src/poolConnection.ts
+++ b/packages/backendClient/src/poolConnection.ts
@@ -13,6 +13,8 @@
 
   private isSending = false;
 
+  private hasEndedByReset = false;
+
   private closing: { readonly reason: CloseReason; readonly detail: string } | undefined;
 
   private constructor(
@@ -34,6 +36,8 @@
       if (!this.isSending) this.close('in-doubt', 'data without a request');
     });
     socket.on('end', () => {
+      // A reset that arrives together with data shows as an orderly end, but leaves no peer behind.
+      this.hasEndedByReset = socket.remoteAddress === undefined;
       // While a request is in flight, its own handlers decide first.
       if (!this.isSending) this.close('ended-by-backend', 'ended by the backend server');
     });
@@ -67,6 +71,11 @@
     return this.closing === undefined && this.socket.readyState === 'open';
   }
 
+  /** Whether the end of the stream was a reset and not an orderly end. */
+  get isEndedByReset(): boolean {
+    return this.hasEndedByReset;
+  }
+
   /** Latest time at which the connection was known to work. */
   get provenAtMs(): number {
     return this.responseAtMs ?? this.openedAtMs;
--- a/packages/backendClient/src/sendAttempt.ts
+++ b/packages/backendClient/src/sendAttempt.ts
@@ -22,6 +22,8 @@
   readonly clock: Clock;
   readonly maxBodyBytes: number;
   readonly dialect: BackendDialect;
+  /** Whether the connection ended by a reset that showed as an orderly end. */
+  readonly isEndedByReset: () => boolean;
 }
 
 /** What a response says about itself, for the check before it is passed on. */
@@ -183,6 +185,7 @@
     const isChunked = response.headers['transfer-encoding'] !== undefined;
     // A body that ends with the connection looks the same when its sender was stopped.
     const isUnframed = statedBytes === undefined && !isChunked;
+    if (isUnframed && this.context.isEndedByReset()) return 'reset in a body without a length';
     if (isUnframed && !this.context.dialect.allowsUnframedBody) return 'a body without a length';
     return undefined;
   }
