Prefer emptier instances and compare the probes of a search

Cause: sends at usual pace took 120 ms at the median for 64 ms of work; the chosen instances had one free slot on average, and the first good probe won whatever the others showed.

--- a/packages/gatewayDaemon/src/instanceFinder.ts
+++ b/packages/gatewayDaemon/src/instanceFinder.ts
@@ -8,6 +8,7 @@
   FRESH_REPORT_MS,
   GOOD_SLOWDOWN,
   MIN_FREE_SLOTS,
+  PROBE_SETTLE_MS,
   PROBE_TIMEOUT_MS,
   PROBE_WIDTH,
   RESERVED_SLOTS,
@@ -168,17 +169,19 @@
     if (asked.length === 0) return undefined;
     return new Promise((resolve) => {
       let pending = asked.length;
-      const timer = setTimeout(() => resolve(this.bestOf(search, asked)), PROBE_TIMEOUT_MS);
-      const settle = (estimate: PlacementEstimate | undefined): void => {
-        clearTimeout(timer);
-        resolve(estimate);
+      let settleTimer: NodeJS.Timeout | undefined;
+      const settle = (): void => {
+        clearTimeout(timeLimit);
+        clearTimeout(settleTimer);
+        resolve(this.bestOf(search, asked));
       };
+      const timeLimit = setTimeout(settle, PROBE_TIMEOUT_MS);
       asked.forEach((instance) => {
         this.options.prober.probe(service, instance).then(() => {
           pending -= 1;
           const good = this.bestOf(search, [instance]);
-          if (good !== undefined) settle(good);
-          else if (pending === 0) settle(this.bestOf(search, asked));
+          if (pending === 0) settle();
+          else if (good !== undefined) settleTimer ??= setTimeout(settle, PROBE_SETTLE_MS);
         });
       });
     });
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -114,3 +114,6 @@
 
 /** For this time the stated number of requests at an instance holds; most work takes longer. */
 export const OCCUPANCY_FRESH_MS = 40;
+
+/** Added time at an instance with all slots in use, as a share; some slow down when nearly full. */
+export const CROWDING_COST = 0.5;
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -3,6 +3,7 @@
 
 import {
   CROSS_DOMAIN_COST_SHARE,
+  CROWDING_COST,
   FAILURE_COST,
   OCCUPANCY_FRESH_MS,
   PACE_MEMORY_MS,
@@ -82,7 +83,8 @@
       : (report.running + report.waiting) * fadeOccupancy(reportAgeMs) + candidate.sentSinceReport;
   const workMs = need.workMs * slowdown * candidate.speedFactor;
   const queued = Math.max(busy - slots + 1, 0);
-  const finishMs = workMs * (1 + queued / Math.max(slots, 1));
+  const crowding = 1 + CROWDING_COST * Math.min(busy / Math.max(slots, 1), 1) ** 2;
+  const finishMs = workMs * crowding * (1 + queued / Math.max(slots, 1));
   const distanceShare = candidate.isLocalDomain ? 0 : CROSS_DOMAIN_COST_SHARE;
   return {
     candidate,
