--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -26,7 +26,7 @@
 export const MEMBER_FORGOTTEN_MS = 20_000;
 
 /** Time that a starting process waits for peers before it reads the store itself. */
-export const PEER_WAIT_MS = 250;
+export const PEER_WAIT_MS = 120;
 
 /** Time between two searches for unknown members in the store. */
 export const MEMBER_SEARCH_MS = 20_000;
