Share a cold instance among few entry VMs; give up a watch that was sent into an outage

Now at most one entry VM per 3 requests/s, chosen by hash in that domain, may use it. The watch is given up when the registrations can be read again. Ruled out: members that did not know each other (18 heard in the log).

--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -318,7 +318,9 @@
       metrics: this.metrics,
       dialect,
       bounds: settings.bounds,
-      countSharers: (failureDomainId) => this.members.countSharers(failureDomainId),
+      countSharers: () => this.members.countSharers(),
+      countColdSharers: ({ id, failureDomainId }, maxSharers) =>
+        this.members.countColdSharers(id, failureDomainId, maxSharers),
       onViolation: (invariant, detail) => {
         this.log.error(LogComponent.invariant, invariant, { detail });
       },
--- a/packages/gatewayDaemon/src/instanceFinder.ts
+++ b/packages/gatewayDaemon/src/instanceFinder.ts
@@ -1,4 +1,4 @@
-import { sleep } from '@bronzelift/common';
+import { settlesWithin, sleep } from '@bronzelift/common';
 import type { Clock, FailureDomainId, InstanceId, RandomSource } from '@bronzelift/common';
 import { rankPlacements } from '@bronzelift/routing';
 import type { PlacementEstimate, PlacementNeed } from '@bronzelift/routing';
@@ -167,24 +167,17 @@
       .slice(0, PROBE_WIDTH)
       .flatMap(({ candidate }) => service.find(candidate.instanceId) ?? []);
     if (asked.length === 0) return undefined;
-    return new Promise((resolve) => {
-      let pending = asked.length;
-      let settleTimer: NodeJS.Timeout | undefined;
-      const settle = (): void => {
-        clearTimeout(timeLimit);
-        clearTimeout(settleTimer);
-        resolve(this.bestOf(search, asked));
-      };
-      const timeLimit = setTimeout(settle, PROBE_TIMEOUT_MS);
-      asked.forEach((instance) => {
-        this.options.prober.probe(service, instance).then(() => {
-          pending -= 1;
-          const good = this.bestOf(search, [instance]);
-          if (pending === 0) settle();
-          else if (good !== undefined) settleTimer ??= setTimeout(settle, PROBE_SETTLE_MS);
-        });
-      });
+    const first = new AbortController();
+    const probes = asked.map(async (instance) => {
+      await this.options.prober.probe(service, instance);
+      if (this.bestOf(search, [instance]) !== undefined) first.abort();
     });
+    const all = Promise.all(probes);
+    const isGoodOrLate = Promise.race([all, sleep(PROBE_TIMEOUT_MS, first.signal)]);
+    await isGoodOrLate;
+    // Another probe that is about to be answered may show an emptier instance.
+    if (first.signal.aborted) await settlesWithin(all, PROBE_SETTLE_MS);
+    return this.bestOf(search, asked);
   }
 
   private bestOf(
--- a/packages/gatewayDaemon/src/memberTable.ts
+++ b/packages/gatewayDaemon/src/memberTable.ts
@@ -1,5 +1,12 @@
 import { formatEndpoint, shuffle } from '@bronzelift/common';
-import type { Clock, Endpoint, FailureDomainId, RandomSource, VmId } from '@bronzelift/common';
+import type {
+  Clock,
+  Endpoint,
+  FailureDomainId,
+  InstanceId,
+  RandomSource,
+  VmId,
+} from '@bronzelift/common';
 
 import {
   MEMBER_FORGOTTEN_MS,
@@ -99,11 +106,28 @@
   }
 
   /** Entry VMs among which budgets are shared, this one included; silent ones count for a while. */
-  countSharers(failureDomainId?: FailureDomainId): number {
-    const isCounted = (status: OwnMember): boolean =>
-      failureDomainId === undefined || status.failureDomainId === failureDomainId;
-    const others = [...this.members.values()].filter(({ status }) => isCounted(status)).length;
-    return others + (isCounted(this.options.own()) ? 1 : 0);
+  countSharers(): number {
+    return this.members.size + 1;
+  }
+
+  /**
+   * Number of entry VMs that share the cold limit of an instance; 0 when this one is not among
+   * them. They are chosen by hash among those in the instance's failure domain, or among all when
+   * it has none, so that all members agree without asking each other.
+   */
+  countColdSharers(
+    instanceId: InstanceId,
+    failureDomainId: FailureDomainId,
+    maxSharers: number,
+  ): number {
+    const own = this.options.own();
+    const all = [own, ...this.all().map(({ status }) => status)];
+    const inDomain = all.filter((member) => member.failureDomainId === failureDomainId);
+    const ranked = (inDomain.length > 0 ? inDomain : all)
+      .map(({ vmId }) => ({ vmId, rank: hashText(`${instanceId} ${vmId}`) }))
+      .sort((left, right) => left.rank - right.rank)
+      .slice(0, Math.max(maxSharers, 1));
+    return ranked.some(({ vmId }) => vmId === own.vmId) ? ranked.length : 0;
   }
 
   /** Latest time at which another member that reads the store was heard. */
--- a/packages/gatewayDaemon/src/serviceRuntime.ts
+++ b/packages/gatewayDaemon/src/serviceRuntime.ts
@@ -2,11 +2,12 @@
 
 import { RefusalPacer } from '@bronzelift/admission';
 import type { BackendDialect } from '@bronzelift/backend-client';
-import type { Clock, FailureDomainId, InstanceId, RandomSource } from '@bronzelift/common';
+import type { Clock, InstanceId, RandomSource } from '@bronzelift/common';
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 import { InstanceSelector, RetryBudget, UsualSlowdown } from '@bronzelift/routing';
 import type { EjectionChange } from '@bronzelift/routing';
+import { COLD_RATE_PER_SHARER } from '@bronzelift/slots';
 import type { ColdRateSettings } from '@bronzelift/slots';
 
 import {
@@ -31,8 +32,10 @@
   readonly metrics: Metrics;
   readonly dialect: BackendDialect;
   readonly bounds: SystemBounds;
-  /** Entry VMs that share budgets, in one failure domain or in all. */
-  readonly countSharers: (failureDomainId?: FailureDomainId) => number;
+  /** Entry VMs that share budgets. */
+  readonly countSharers: () => number;
+  /** Entry VMs that share a cold instance; 0 when this one is not among them. */
+  readonly countColdSharers: (record: InstanceRecord, maxSharers: number) => number;
   readonly onViolation: (name: 'whole-answer', detail: string) => void;
 }
 
@@ -168,10 +171,11 @@
 
   /** Share of this entry VM in what a cold instance bears. */
   coldLimit(instance: InstanceRuntime): ColdRateSettings {
-    return {
-      requestsPerS: this.currentPolicy?.coldRequestsPerS ?? 0,
-      sharers: this.options.countSharers(instance.record.failureDomainId),
-    };
+    const requestsPerS = this.currentPolicy?.coldRequestsPerS ?? 0;
+    if (!instance.isCold) return { requestsPerS, sharers: 0 };
+    const maxSharers = Math.floor(requestsPerS / COLD_RATE_PER_SHARER);
+    const sharers = this.options.countColdSharers(instance.record, maxSharers);
+    return { requestsPerS, sharers };
   }
 
   /** Time that a request of a route takes at usual pace. */
--- a/packages/gatewayDaemon/src/storeReader.ts
+++ b/packages/gatewayDaemon/src/storeReader.ts
@@ -12,7 +12,7 @@
 } from './constants.js';
 import type { ControlState, InstanceDelta } from './controlState.js';
 import type { OutageTracker } from './outageTracker.js';
-import type { ControlStore } from './types.js';
+import type { ControlStore, OperatorChange, StreamRead } from './types.js';
 
 /** Parameters of the tasks that read the store. */
 export interface StoreReaderOptions {
@@ -44,6 +44,8 @@
 
   private lastReadAtMs = -Infinity;
 
+  private watch = new AbortController();
+
   /** Streams whose latest read failed. */
   private readonly failing = new Set<StreamName>();
 
@@ -88,6 +90,7 @@
         this.noteSuccess(stream);
         await sleep(pauseMs, signal);
       } catch (error) {
+        if (stream === 'operators' && this.watch.signal.aborted) continue;
         failures += 1;
         this.noteFailure(stream, error);
         await sleep(failures === 1 ? STORE_RETRY_MS : INSTANCE_POLL_MS, signal);
@@ -113,14 +116,18 @@
     const { store, state } = this.options;
     const offset = state.nextOperatorOffset;
     const before = state.revision;
-    const read =
-      offset === undefined ? undefined : await store.watchOperator(offset, OPERATOR_WATCH_MS);
+    const read = offset === undefined ? undefined : await this.watchFrom(offset);
     if (read?.kind === 'page') state.applyOperatorChanges(read);
     else state.replaceOperatorState(await store.readNewestOperator());
     if (state.revision !== before) this.options.onOperatorChange();
     // Without a configuration the stream is empty; the first record ends the next watch.
   }
 
+  private watchFrom(offset: number): Promise<StreamRead<OperatorChange>> {
+    this.watch = new AbortController();
+    return this.options.store.watchOperator(offset, OPERATOR_WATCH_MS, this.watch.signal);
+  }
+
   /** Notes a successful read; true while removals may be lapses during an outage. */
   private noteInstanceRead(): boolean {
     const nowMs = this.options.clock.monotonicMs();
@@ -132,6 +139,8 @@
   private noteSuccess(stream: StreamName): void {
     if (this.failing.delete(stream)) {
       this.options.log.info(LogComponent.log, 'store reachable again', { stream });
+      // A watch that was sent into the outage would stay silent until its time limit.
+      if (stream === 'registrations') this.watch.abort();
     }
     this.options.onStoreCall(this.failing.size === 0);
   }
--- a/packages/gatewayDaemon/src/types.ts
+++ b/packages/gatewayDaemon/src/types.ts
@@ -104,8 +104,12 @@
 export interface ControlStore {
   /** The newest configuration and the failure domains taken out. */
   readonly readNewestOperator: () => Promise<StreamPage<OperatorChange>>;
-  /** Waits at most `waitMs` for operators' records from an offset on. */
-  readonly watchOperator: (offset: number, waitMs: number) => Promise<StreamRead<OperatorChange>>;
+  /** Waits at most `waitMs` for operators' records from an offset on; rejects when aborted. */
+  readonly watchOperator: (
+    offset: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ) => Promise<StreamRead<OperatorChange>>;
   readonly readNewestInstances: () => Promise<StreamPage<InstanceChange>>;
   readonly readInstances: (offset: number) => Promise<StreamRead<InstanceChange>>;
   readonly announceMember: (member: MemberRecord) => Promise<void>;
--- a/packages/gatewayDaemon/tests/controlState.test.ts
+++ b/packages/gatewayDaemon/tests/controlState.test.ts
@@ -60,11 +60,11 @@
         const peer = createState();
         peer.state.replaceInstances({ changes: [], nextOffset: 0 }, false);
         const expected = new Map<string, boolean>();
-        let sequence = 0;
         let nextOffset = 0;
         for (const page of pages) {
-          const changes = page.map(({ id, isRemoval }) => {
-            sequence += 1;
+          const firstSequence = nextOffset + 1;
+          const changes = page.map(({ id, isRemoval }, index) => {
+            const sequence = firstSequence + index;
             expected.set(id, !isRemoval);
             return isRemoval ? removed(id) : registered(createRecord(id, { sequence }));
           });
--- /dev/null
+++ b/packages/gatewayDaemon/tests/memberTable.test.ts
@@ -0,0 +1,143 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+
+import { ManualClock, SeededRandom } from '@bronzelift/common';
+import { COLD_RATE_PER_SHARER, ColdRateLimit } from '@bronzelift/slots';
+
+import { MEMBER_SILENT_MS, READER_COUNT } from '../src/constants.js';
+import { MemberTable } from '../src/memberTable.js';
+import type { MemberStatus } from '../src/memberTable.js';
+import { decodeMessage, encodeMessage } from '../src/peerMessages.js';
+
+const seedOption = process.env.SEED === undefined ? {} : { seed: Number(process.env.SEED) };
+const DOMAINS = ['a', 'b', 'c'];
+
+const createStatus = (index: number, fields: Partial<MemberStatus> = {}): MemberStatus => ({
+  vmId: `vm-${index}`,
+  incarnation: 'first',
+  failureDomainId: DOMAINS[index % DOMAINS.length]!,
+  callerEndpoint: { host: `10.0.0.${index}`, port: 80 },
+  phase: 'ready',
+  isStoreFailing: false,
+  isReader: false,
+  storeReadAgeMs: 100,
+  operatorRevision: 1,
+  instanceOffset: 1,
+  instanceDigest: 1,
+  ...fields,
+});
+
+/** Tables of `count` members that have all heard each other. */
+const createTables = (statuses: readonly MemberStatus[], clock = ManualClock.create()) => {
+  const tables = statuses.map((own) =>
+    MemberTable.create({
+      clock,
+      random: SeededRandom.create(1),
+      regionOfDomain: new Map(DOMAINS.map((domain) => [domain, 'north'])),
+      own: () => own,
+    }),
+  );
+  tables.forEach((table, index) => {
+    statuses.forEach((status, other) => {
+      if (other !== index) table.hear(status, status.callerEndpoint.host);
+    });
+  });
+  return { tables, clock };
+};
+
+const range = (count: number): number[] => Array.from({ length: count }, (_, index) => index);
+
+describe('MemberTable', () => {
+  // Guards against no reader, or all members reading, when members agree on who they are.
+  it('elects the same readers everywhere, in different failure domains, failing ones last', () => {
+    fc.assert(
+      fc.property(fc.integer({ min: 2, max: 20 }), fc.nat(), (count, failing) => {
+        const failingIndex = failing % count;
+        const statuses = range(count).map((index) =>
+          createStatus(index, { isStoreFailing: index === failingIndex }),
+        );
+        const { tables } = createTables(statuses);
+        tables[failingIndex]!.noteStoreCall(false);
+        const elected = tables.map((table) => table.electReaders());
+        for (const readers of elected) expect(readers).to.deep.equal(elected[0]);
+        expect(elected[0]).to.have.length(Math.min(READER_COUNT, count));
+        if (count > READER_COUNT) expect(elected[0]).to.not.include(`vm-${failingIndex}`);
+        const domains = elected[0]!.map((id) => Number(id.slice(3)) % DOMAINS.length);
+        if (count > DOMAINS.length) expect(new Set(domains).size).to.equal(READER_COUNT);
+      }),
+      seedOption,
+    );
+  });
+
+  // Guards against more requests to a cold instance than it bears when all members send at once.
+  it('keeps the sum of all members within the rate of a cold instance in every second', () => {
+    const limits = fc.record({
+      members: fc.integer({ min: 1, max: 150 }),
+      requestsPerS: fc.integer({ min: 8, max: 40 }),
+      seed: fc.integer(),
+    });
+    fc.assert(
+      fc.property(limits, ({ members, requestsPerS, seed }) => {
+        const { tables, clock } = createTables(range(members).map((index) => createStatus(index)));
+        const maxSharers = Math.floor(requestsPerS / COLD_RATE_PER_SHARER);
+        const limit = { requestsPerS };
+        const random = SeededRandom.create(seed);
+        const senders = tables.map((table) => ({
+          settings: { ...limit, sharers: table.countColdSharers('i-1', 'a', maxSharers) },
+          bucket: ColdRateLimit.create(clock),
+        }));
+        const sentAtMs: number[] = [];
+        for (let step = 0; step < 300; step += 1) {
+          clock.advance(10);
+          const isFlood = random.next() < 0.5;
+          for (const { settings, bucket } of senders) {
+            if (!isFlood || !bucket.isOpen(settings)) continue;
+            bucket.spend(settings);
+            sentAtMs.push(clock.monotonicMs());
+          }
+        }
+        expect(sentAtMs.length).to.be.above(0);
+        sentAtMs.forEach((startMs, index) => {
+          const inSecond = sentAtMs.slice(index).filter((atMs) => atMs < startMs + 1_000).length;
+          expect(inSecond).to.be.at.most(requestsPerS * 1.5);
+        });
+      }),
+      { ...seedOption, numRuns: 40 },
+    );
+  });
+
+  it('names ready members of the failure domain of the caller, and others only without any', () => {
+    const statuses = [
+      createStatus(0),
+      createStatus(1),
+      createStatus(3, { phase: 'leaving' }),
+      createStatus(6),
+    ];
+    const { tables, clock } = createTables(statuses);
+    const hostsFor = (domain: string): string[] =>
+      tables[1]!.addressesFor({ failureDomainId: domain, region: 'north' }).map(({ host }) => host);
+    expect(hostsFor('a')).to.have.members(['10.0.0.0', '10.0.0.6']);
+    expect(hostsFor('c')).to.have.members(['10.0.0.0', '10.0.0.1', '10.0.0.6']);
+    clock.advance(MEMBER_SILENT_MS + 1);
+    // Guards against naming members that were lost.
+    expect(hostsFor('a')).to.deep.equal(['10.0.0.1']);
+  });
+
+  it('carries each message unchanged and takes foreign bytes for none', () => {
+    const status = createStatus(4, { isReader: true, phase: 'starting', storeReadAgeMs: 17 });
+    const messages = [
+      { kind: 'heartbeat', status } as const,
+      { kind: 'members', hosts: ['10.0.0.1'] } as const,
+    ];
+    for (const message of messages) {
+      expect(decodeMessage(encodeMessage(message))).to.deep.equal(message);
+    }
+    fc.assert(
+      fc.property(fc.uint8Array(), fc.json(), (bytes, json) => {
+        decodeMessage(Buffer.from(bytes));
+        decodeMessage(Buffer.from(json));
+      }),
+      seedOption,
+    );
+  });
+});
--- a/packages/slots/src/coldRateLimit.ts
+++ b/packages/slots/src/coldRateLimit.ts
@@ -8,7 +8,7 @@
 export interface ColdRateSettings {
   /** Requests per second that the cold instance bears from all entry VMs together. */
   readonly requestsPerS: number;
-  /** Entry VMs that may send to it; at least MIN_COLD_SHARERS are assumed. */
+  /** Entry VMs that may send to it; at least MIN_COLD_SHARERS are assumed. 0 when this one may not. */
   readonly sharers: number;
 }
 
@@ -35,7 +35,7 @@
   /** Whether a request may be sent now. */
   isOpen(settings: ColdRateSettings): boolean {
     this.fill(settings);
-    return this.tokens >= 1;
+    return settings.sharers > 0 && this.tokens >= 1;
   }
 
   /** Counts a request that is sent now. */
--- a/packages/slots/src/constants.ts
+++ b/packages/slots/src/constants.ts
@@ -36,10 +36,16 @@
 export const DEFAULT_PROBE_BUDGET_MS_PER_S = 20;
 
 /** Share of the rate of a cold instance that is used; the rest covers members not yet known. */
-export const COLD_RATE_SHARE = 0.7;
+export const COLD_RATE_SHARE = 0.9;
 
 /** Requests that an entry VM may send to a cold instance at once. */
 export const COLD_BURST_REQUESTS = 1;
 
 /** Entry VMs assumed to share a cold instance while fewer are known, as after a start. */
 export const MIN_COLD_SHARERS = 4;
+
+/**
+ * A cold instance is used by one entry VM for each of so many requests per second that it bears.
+ * All may spend their burst at once, and the sum has to stay below the rate.
+ */
+export const COLD_RATE_PER_SHARER = 3;
