Read the records that bring lapsed instances back; hand on cold instances

Cause: two members that keep the same instances after an outage have the same digest, whether a removal is still deferred or cancelled. The one that had not yet read the new registration moved its offset on with the peer's heartbeat, missed it, and dropped the instance when the grace ended; its difference then made the peer drop it too. Ruled out: load as the cause (the log shows the offsets moving), lost datagrams. Change: while a removal is deferred, offsets of peers are not taken over; a difference is sent whenever a record changed. Two tests failed first.

--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -145,7 +145,7 @@
 
   /** Sends a difference, or a sign that there is none, to all members. */
   private publishDelta(delta: InstanceDelta): void {
-    const hasChange = delta.fromDigest !== delta.toDigest;
+    const hasChange = delta.changed.length > 0 || delta.removed.length > 0;
     const status = this.options.ownStatus();
     const message: PeerMessage = hasChange
       ? { kind: 'delta', status, delta }
--- a/packages/gatewayDaemon/src/controlState.ts
+++ b/packages/gatewayDaemon/src/controlState.ts
@@ -223,14 +223,13 @@
   /** Applies a difference from another entry VM; false when it starts from another set. */
   applyDelta(delta: InstanceDelta): boolean {
     if (this.instanceOffset === undefined) return false;
-    if (delta.toDigest === this.currentDigest) {
-      this.confirmInstances(delta.nextOffset, delta.toDigest);
-      return true;
-    }
-    if (delta.fromDigest !== this.currentDigest || delta.nextOffset < this.instanceOffset) {
-      return false;
-    }
-    this.changeInstances(delta.nextOffset, (changed, removed) => {
+    const isSameSet = delta.toDigest === this.currentDigest;
+    if (delta.nextOffset < this.instanceOffset) return isSameSet;
+    if (delta.fromDigest !== this.currentDigest && !isSameSet) return false;
+    // A peer's difference may skip records that would bring lapsed instances back here.
+    const isWaiting = this.deferredRemovals.size > 0;
+    const nextOffset = isWaiting ? this.instanceOffset : delta.nextOffset;
+    this.changeInstances(nextOffset, (changed, removed) => {
       for (const record of delta.changed) this.register(record, changed);
       for (const id of delta.removed) this.remove(id, false, removed);
     });
@@ -240,6 +239,8 @@
   /** Moves the offset on when another entry VM has the same registrations further on. */
   confirmInstances(nextOffset: number, digest: number): void {
     if (this.instanceOffset === undefined || digest !== this.currentDigest) return;
+    // A record that brings a lapsed instance back does not change the digest and has to be read.
+    if (this.deferredRemovals.size > 0) return;
     this.instanceOffset = Math.max(this.instanceOffset, nextOffset);
   }
 
--- a/packages/gatewayDaemon/src/utils.ts
+++ b/packages/gatewayDaemon/src/utils.ts
@@ -18,8 +18,9 @@
 export const digestInstances = (records: Iterable<InstanceRecord>): number => {
   let sum = 0;
   for (const record of records) {
-    const { id, startedAtWallMs, isDraining, endpoint } = record;
-    sum += hashText(`${id} ${startedAtWallMs} ${isDraining} ${endpoint.host}:${endpoint.port}`);
+    const { id, service, slots, startedAtWallMs, isDraining, endpoint } = record;
+    const process = `${id} ${startedAtWallMs} ${endpoint.host}:${endpoint.port}`;
+    sum += hashText(`${process} ${service} ${slots} ${isDraining}`);
   }
   return sum % Number.MAX_SAFE_INTEGER;
 };
--- a/packages/gatewayDaemon/tests/controlState.test.ts
+++ b/packages/gatewayDaemon/tests/controlState.test.ts
@@ -111,6 +111,35 @@
     expect([...used.keys()]).to.deep.equal(['x']);
   });
 
+  // Guards against skipping the record that brings a lapsed instance back, because a peer that has
+  // read it uses the same instances.
+  it('does not skip records on the word of a peer while a removal is deferred', () => {
+    const { clock, state, used } = createState();
+    state.applyInstanceChanges({ changes: [registered(createRecord('x'))], nextOffset: 1 }, false);
+    state.applyInstanceChanges({ changes: [removed('x')], nextOffset: 2 }, true);
+    state.confirmInstances(3, state.digest);
+    expect(state.nextInstanceOffset).to.equal(2);
+    const back = registered(createRecord('x', { sequence: 2 }));
+    state.applyInstanceChanges({ changes: [back], nextOffset: 3 }, false);
+    clock.advance(LAPSE_GRACE_MS);
+    state.applyDueRemovals();
+    expect([...used.keys()]).to.deep.equal(['x']);
+  });
+
+  // Guards against members that do not learn that an instance has turned cold.
+  it('hands on that an instance has turned cold although the set of instances is the same', () => {
+    const { state } = createState();
+    const peer = createState();
+    const page = { changes: [registered(createRecord('x'))], nextOffset: 1 };
+    state.applyInstanceChanges(page, false);
+    peer.state.applyInstanceChanges(page, false);
+    const cold = registered(createRecord('x', { sequence: 2, coldForMs: 3_000 }));
+    const delta = state.applyInstanceChanges({ changes: [cold], nextOffset: 2 }, false);
+    expect(delta.changed).to.have.length(1);
+    peer.state.applyDelta(delta);
+    expect(peer.used.get('x')!.coldForMs).to.equal(3_000);
+  });
+
   // Guards against a configuration that reverts when states of other entry VMs arrive.
   it('never takes over an older state of the operators', () => {
     const { state, versions } = createState();
