--- /dev/null
+++ b/packages/admission/tests/refusalPacer.test.ts
@@ -0,0 +1,19 @@
+import { expect } from 'chai';
+
+import { ManualClock, SeededRandom } from '@bronzelift/common';
+
+import { RefusalPacer } from '../src/index.js';
+
+describe('RefusalPacer', () => {
+  // Guards against callers that are refused together and return together.
+  it('spreads the returns of a flood, and forgets it as time passes', () => {
+    const clock = ManualClock.create();
+    const pacer = RefusalPacer.create(clock, SeededRandom.create(1));
+    const flood = Array.from({ length: 200 }, () => pacer.refuse(50, 10));
+    const late = flood.slice(100);
+    expect(Math.max(...late) - Math.min(...late)).to.be.above(800);
+    expect(Math.min(...flood)).to.be.at.least(50);
+    clock.advance(10_000);
+    expect(pacer.refuse(50, 10)).to.be.at.most(100);
+  });
+});
