Explain a request from log files: bronzeliftctl explain

Cause: after a complaint only logs remain, of many entry VMs, and the way from a request's id to its cause was by hand.

--- a/apps/ctl/src/cli.ts
+++ b/apps/ctl/src/cli.ts
@@ -6,6 +6,7 @@
 import { ApplyCommand } from './commands/apply.js';
 import { BringBackCommand } from './commands/bringBack.js';
 import { CheckCommand } from './commands/check.js';
+import { ExplainCommand } from './commands/explain.js';
 import { ShowCommand } from './commands/show.js';
 import { StartEmptyCommand } from './commands/startEmpty.js';
 import { StatusCommand } from './commands/status.js';
@@ -19,6 +20,7 @@
     Builtins.HelpCommand,
     CheckCommand,
     ApplyCommand,
+    ExplainCommand,
     ShowCommand,
     StatusCommand,
     TakeOutCommand,
--- /dev/null
+++ b/apps/ctl/src/explainRequest.ts
@@ -0,0 +1,75 @@
+/** A log line of a request and the file in which it stands. */
+export interface RequestLine {
+  readonly file: string;
+  readonly text: string;
+}
+
+/** What the logs say of one request. */
+export interface RequestExplanation {
+  /** In the order of their times, over all files. */
+  readonly lines: readonly RequestLine[];
+  /** One sentence on what became of the request and why. */
+  readonly cause: string;
+}
+
+const TIME = /\d{4}-\d\d-\d\dT[\d:.]+Z/;
+
+const readTime = ({ text }: RequestLine): string => TIME.exec(text)?.[0] ?? '';
+
+const readField = (text: string, name: string): string | undefined => {
+  const match = new RegExp(`(?:^|\\s)${name}=("(?:[^"\\\\]|\\\\.)*"|\\S+)`).exec(text);
+  return match?.[1]?.replace(/^"|"$/g, '');
+};
+
+const REFUSAL_CAUSES: Readonly<Record<string, string>> = {
+  'no-instance': 'no instance of the service could be used',
+  overloaded: 'no instance with a free slot at usual pace was found in time',
+  shed: 'the instances that it was sent to refused it, and the budget allowed no further one',
+  expired: 'too little of its time was left for a send',
+};
+
+const FAILURE_CAUSES: Readonly<Record<string, string>> = {
+  timeout: 'an instance did not answer within its time; it may have run',
+  'instance-failed': 'an instance failed after the send; it may have run',
+  'caller-gone': 'the caller went away first',
+  'too-large': 'the answer was larger than the limit',
+};
+
+const explainLine = (text: string): string | undefined => {
+  const reason = readField(text, 'reason') ?? '';
+  if (text.includes(' refused: state not known yet')) {
+    return 'Refused, not run: the process had just started and knew no configuration.';
+  }
+  if (text.includes(' no route ')) {
+    const version = readField(text, 'version') ?? 'unknown';
+    return `Not found: configuration version ${version} has no route for its host and path.`;
+  }
+  if (text.includes('] refused ')) {
+    return `Refused, not run: ${REFUSAL_CAUSES[reason] ?? reason}.`;
+  }
+  if (text.includes('] failed ')) return `Failed: ${FAILURE_CAUSES[reason] ?? reason}.`;
+  if (text.includes('] attempt answered ')) {
+    const instance = readField(text, 'instance') ?? 'an instance';
+    const status = readField(text, 'status') ?? '?';
+    return `Answered with status ${status} by instance ${instance}.`;
+  }
+  return undefined;
+};
+
+/** Collects the lines of a request from log texts and says what became of it. */
+export const explainRequest = (
+  requestId: string,
+  files: readonly { readonly name: string; readonly text: string }[],
+): RequestExplanation => {
+  const lines = files.flatMap(({ name, text }) =>
+    text
+      .split('\n')
+      .filter((line) => readField(line, 'request') === requestId)
+      .map((line) => ({ file: name, text: line.trim() })),
+  );
+  const sorted = lines.sort((left, right) => (readTime(left) < readTime(right) ? -1 : 1));
+  const causes = sorted.flatMap(({ text }) => explainLine(text) ?? []);
+  const cause = causes.at(-1);
+  if (sorted.length === 0) return { lines: [], cause: 'No line of this request was found.' };
+  return { lines: sorted, cause: cause ?? 'The logs end before its outcome.' };
+};
