--- /dev/null
+++ b/apps/gatewayd/tests/process.test.ts
@@ -0,0 +1,116 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { get } from 'node:http';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+import { expect } from 'chai';
+
+const PROGRAM = fileURLToPath(new URL('../bin/bronzelift-gatewayd.js', import.meta.url));
+const FIRST_PORT = 20_150;
+
+const SETTINGS = [
+  'node=edge-1',
+  'ip=127.0.0.1',
+  'zone=zone-a',
+  'region=north',
+  'zones.zone-a=north',
+  `listen.frontend=127.0.0.1:${FIRST_PORT}`,
+  `listen.ready=127.0.0.1:${FIRST_PORT + 1}`,
+  `listen.directory=127.0.0.1:${FIRST_PORT + 2}`,
+  `internal_ports=${FIRST_PORT + 3},${FIRST_PORT + 9}`,
+  // Nothing listens there: the process has to start and stop without its store.
+  `platform.address=127.0.0.1:${FIRST_PORT + 8}`,
+  'bounds.grace=1500ms',
+].join('\n');
+
+const readStatus = (port: number): Promise<number> =>
+  new Promise((resolve, reject) => {
+    get({ host: '127.0.0.1', port, path: '/ready', agent: false }, (response) => {
+      response.resume();
+      resolve(response.statusCode ?? 0);
+    }).on('error', reject);
+  });
+
+const waitForStatus = async (port: number): Promise<number> => {
+  for (let tries = 0; ; tries += 1) {
+    try {
+      return await readStatus(port);
+    } catch (error) {
+      if (tries === 100) throw error;
+      await new Promise((resolve) => {
+        setTimeout(resolve, 50);
+      });
+    }
+  }
+};
+
+describe('bronzelift-gatewayd as a process', () => {
+  let folder: string;
+  let child: ChildProcess | undefined;
+
+  const start = async (settings: string, ...args: string[]) => {
+    const file = path.join(folder, 'settings.conf');
+    await writeFile(file, settings);
+    const started = spawn(process.execPath, [PROGRAM, ...args], {
+      env: { ...process.env, BRONZELIFT_BOOT: file },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    child = started;
+    const output = { out: '', errors: '' };
+    started.stdout.on('data', (data) => {
+      output.out += String(data);
+    });
+    started.stderr.on('data', (data) => {
+      output.errors += String(data);
+    });
+    return { started, output };
+  };
+
+  beforeEach(async () => {
+    folder = await mkdtemp(path.join(tmpdir(), 'gatewayd-'));
+  });
+
+  afterEach(async () => {
+    if (child?.exitCode === null && child.signalCode === null) child.kill('SIGKILL');
+    await rm(folder, { recursive: true });
+  });
+
+  // Guards against a process that ends by a signal that only says that its settings have changed.
+  it('goes on after SIGHUP and ends with 0 after SIGTERM, both with a line in the log', async () => {
+    const { started, output } = await start(SETTINGS, 'run');
+    expect(await waitForStatus(FIRST_PORT + 1)).to.equal(503);
+    started.kill('SIGHUP');
+    expect(await waitForStatus(FIRST_PORT + 1)).to.equal(503);
+    started.kill('SIGTERM');
+    const [code] = await once(started, 'exit');
+    expect(code).to.equal(0);
+    expect(output.out).to.match(/reload requested/);
+    expect(output.out).to.match(/\[daemon\] stopped/);
+  });
+
+  // Guards against a start with wrong settings that fails later and one mistake at a time.
+  it('names all mistakes of its settings and exits with 2', async () => {
+    const wrong = SETTINGS.replace('node=edge-1', 'node=').replace('=1500ms', '=soon');
+    for (const command of ['run', 'check']) {
+      const { started, output } = await start(wrong, command);
+      const [code] = await once(started, 'exit');
+      expect(code).to.equal(2);
+      expect(output.errors).to.match(/node: expected a value/);
+      expect(output.errors).to.match(/bounds\.grace: expected a time/);
+    }
+  });
+
+  it('says that a port is in use and exits with 1', async () => {
+    const { started: first } = await start(SETTINGS, 'run');
+    await waitForStatus(FIRST_PORT + 1);
+    const { started: second, output } = await start(SETTINGS, 'run');
+    const [code] = await once(second, 'exit');
+    first.kill('SIGKILL');
+    expect(code).to.equal(1);
+    expect(output.errors).to.match(/cannot start: open .*127\.0\.0\.1:\d+.*EADDRINUSE/);
+  });
+});
