--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -208,3 +208,9 @@
 
 /** Above this utilization a request is refused rather than sent to an instance at slow pace. */
 export const SLOW_WORK_UTILIZATION = 0.5;
+
+/** Share by which the longest wait of the callers of a route follows the latest, shorter one. */
+export const FULL_WAIT_FADE = 0.002;
+
+/** Registrations that were removed are remembered for this time, against older records of them. */
+export const TOMBSTONE_MS = 600_000;
--- a/packages/gatewayDaemon/src/controlState.ts
+++ b/packages/gatewayDaemon/src/controlState.ts
@@ -1,7 +1,7 @@
 import { assertNever } from '@bronzelift/common';
 import type { Clock, FailureDomainId, InstanceId } from '@bronzelift/common';
 
-import { LAPSE_GRACE_MS } from './constants.js';
+import { LAPSE_GRACE_MS, TOMBSTONE_MS } from './constants.js';
 import { RouteTable } from './routeTable.js';
 import type {
   GatewayConfiguration,
@@ -57,9 +57,14 @@
 interface Tombstone {
   readonly startedAtWallMs: number;
   readonly sequence: number;
+  /** Monotonic time of the removal. */
+  readonly removedAtMs: number;
 }
 
-const isOlder = (record: InstanceRecord, than: Tombstone): boolean =>
+const isOlder = (
+  record: InstanceRecord,
+  than: Pick<Tombstone, 'startedAtWallMs' | 'sequence'>,
+): boolean =>
   record.startedAtWallMs < than.startedAtWallMs ||
   (record.startedAtWallMs === than.startedAtWallMs && record.sequence < than.sequence);
 
@@ -213,6 +218,9 @@
   /** Carries out deferred removals that are due; undefined when there are none. */
   applyDueRemovals(): InstanceDelta | undefined {
     const nowMs = this.clock.monotonicMs();
+    for (const [id, { removedAtMs }] of this.tombstones) {
+      if (nowMs - removedAtMs > TOMBSTONE_MS) this.tombstones.delete(id);
+    }
     const due = [...this.deferredRemovals].filter(([, atMs]) => atMs <= nowMs).map(([id]) => id);
     if (due.length === 0) return undefined;
     return this.changeInstances(this.instanceOffset ?? 0, (_changed, removed) => {
@@ -371,7 +379,8 @@
     this.deferredRemovals.delete(id);
     this.known.delete(id);
     const { startedAtWallMs, sequence } = known.record;
-    this.tombstones.set(id, { startedAtWallMs, sequence });
+    const removedAtMs = this.clock.monotonicMs();
+    this.tombstones.set(id, { startedAtWallMs, sequence, removedAtMs });
     removed.push(id);
   }
 }
--- a/packages/gatewayDaemon/src/requestHandler.ts
+++ b/packages/gatewayDaemon/src/requestHandler.ts
@@ -43,6 +43,9 @@
   readonly found: FoundInstance;
 }
 
+const isConnectFailure = (reason: string): boolean =>
+  reason === 'connect-failed' || reason === 'connect-timeout';
+
 const isServerError = (attempt: BackendAttempt): boolean =>
   attempt.kind === 'answered' && attempt.response.status >= 500;
 
@@ -209,7 +212,8 @@
         instance.noteOutcome(true);
         return;
       case 'not-sent':
-        instance.noteOutcome(attempt.reason !== 'cancelled');
+        // A limit of our own or a caller that left says nothing about the instance.
+        instance.noteOutcome(isConnectFailure(attempt.reason));
         return;
       case 'failed-after-send':
         if (attempt.reason !== 'cancelled') instance.noteOutcome(true);
--- a/packages/gatewayDaemon/src/serviceRuntime.ts
+++ b/packages/gatewayDaemon/src/serviceRuntime.ts
@@ -12,6 +12,7 @@
 
 import {
   CONNECTION_SHARE,
+  FULL_WAIT_FADE,
   INITIAL_WORK_SHARE,
   MAX_CONNECTIONS_PER_INSTANCE,
   MAX_SEARCHES,
@@ -185,10 +186,13 @@
 
   /** Time that a caller spent on earlier tries; 0 for a first try. */
   waitedBeforeMs(route: Route, callerWaitMs: number): number {
-    const fullMs = Math.max(this.fullWaitMsOfRoute.get(route.name) ?? 0, callerWaitMs);
+    if (!Number.isFinite(callerWaitMs)) return 0;
+    const knownMs = this.fullWaitMsOfRoute.get(route.name) ?? callerWaitMs;
+    // The longest wait fades, so that one patient caller does not make all others seem refused.
+    const fullMs = Math.max(knownMs + FULL_WAIT_FADE * (callerWaitMs - knownMs), callerWaitMs);
     this.fullWaitMsOfRoute.set(route.name, fullMs);
     const waitedMs = fullMs - callerWaitMs;
-    return waitedMs < MIN_WAITED_BEFORE_MS ? 0 : waitedMs;
+    return waitedMs < MIN_WAITED_BEFORE_MS ? 0 : Math.min(waitedMs, route.latencyObjectiveMs);
   }
 
   /** Counts the time that a request took, reduced to usual pace. */
--- /dev/null
+++ b/packages/gatewayDaemon/tests/serviceRuntime.test.ts
@@ -0,0 +1,74 @@
+import { expect } from 'chai';
+
+import { ownDialect } from '@bronzelift/backend-client';
+import { ManualClock, SeededRandom } from '@bronzelift/common';
+import { DecisionLog, Metrics } from '@bronzelift/observability';
+
+import { ServiceRuntime } from '../src/serviceRuntime.js';
+import type { Route } from '../src/types.js';
+
+const route: Route = {
+  name: 'r',
+  host: 'a.example',
+  pathPrefix: '/',
+  isIdempotent: true,
+  timeoutMs: 800,
+  latencyObjectiveMs: 200,
+  priority: 1,
+  parts: [{ service: 's', weight: 1 }],
+  maxAttempts: 2,
+  allowedRegions: [],
+};
+
+const createService = (sharers = 14): ServiceRuntime => {
+  const clock = ManualClock.create();
+  return ServiceRuntime.create('s', undefined, {
+    clock,
+    random: SeededRandom.create(1),
+    log: DecisionLog.create({ clock, sink: () => Promise.resolve() }),
+    metrics: Metrics.create(),
+    dialect: ownDialect,
+    bounds: {
+      retryRatio: 0.2,
+      retrySlack: 58,
+      stopGraceMs: 6_000,
+      maxAddressTtlMs: 5_000,
+      probesPerS: 60,
+    },
+    countSharers: () => sharers,
+    countColdSharers: () => 1,
+    onViolation: () => {},
+  });
+};
+
+describe('ServiceRuntime', () => {
+  // Guards against taking every caller for one that was refused before.
+  it('tells callers that come back from patient ones and from those that state no wait', () => {
+    const service = createService();
+    expect(service.waitedBeforeMs(route, 800)).to.equal(0);
+    expect(service.waitedBeforeMs(route, 700)).to.be.closeTo(100, 1);
+    expect(service.waitedBeforeMs(route, Infinity)).to.equal(0);
+    expect(service.waitedBeforeMs(route, 800)).to.equal(0);
+    service.waitedBeforeMs(route, 60_000);
+    for (let index = 0; index < 5_000; index += 1) service.waitedBeforeMs(route, 800);
+    expect(service.waitedBeforeMs(route, 800)).to.equal(0);
+  });
+
+  // Guards against more repeats in the whole system than its budget, when all members repeat.
+  it('hands out no more than the retry budget of the system', () => {
+    const requestsOfAll = 2_000;
+    for (const sharers of [1, 14, 18, 142]) {
+      let granted = 0;
+      for (let member = 0; member < sharers; member += 1) {
+        const { retries } = createService(sharers);
+        for (let index = 0; index < requestsOfAll / sharers; index += 1) {
+          retries.addRequest();
+          while (retries.take()) granted += 1;
+        }
+      }
+      const isTiny = sharers > 58;
+      const slack = isTiny ? sharers : 58;
+      expect(granted).to.be.at.most(requestsOfAll * 0.2 + slack);
+    }
+  });
+});
