Reserve a place at an instance in the step that chooses it

Cause: searches that shared a probe, or whose probes were answered in the same moment, all saw the same free slot; the place was taken only when the request was sent, some turns of the event loop later. Change: the search judges and reserves in one step; own requests in flight count whole, however old the report. Conclusion: cold limits and slots hold also within one member.

--- a/packages/gatewayDaemon/src/instanceFinder.ts
+++ b/packages/gatewayDaemon/src/instanceFinder.ts
@@ -48,9 +48,11 @@
   readonly signal: AbortSignal;
 }
 
-/** A chosen instance and what the choice rests on. */
+/** A chosen instance, with a place reserved there, and what the choice rests on. */
 export interface FoundInstance {
   readonly instance: InstanceRuntime;
+  /** Gives the place back; to be called once the request has ended or is not sent after all. */
+  readonly release: () => void;
   readonly expectedMs: number;
   readonly reportAgeMs: number;
   readonly slowdown: number;
@@ -81,13 +83,15 @@
       const usable = this.usableInstances(search);
       const known = this.rank(search, usable);
       const fresh = known.find((estimate) => this.isGoodNow(search, estimate));
-      if (fresh !== undefined) return this.describe(search, fresh, 'fresh-report');
-      const probed = await this.probeFirstGood(search, known);
-      // Registrations may have changed while probes were on their way.
+      if (fresh !== undefined) return this.reserve(search, fresh, 'fresh-report');
+      const asked = await this.probeUntilGood(search, known);
+      if (search.signal.aborted) return 'caller-gone';
+      // Judged only here: other searches may have taken the places meanwhile, and registrations
+      // may have changed.
+      const probed = this.bestOf(search, asked);
       if (probed !== undefined && this.isStillUsable(search, probed)) {
-        return this.describe(search, probed, 'probed');
+        return this.reserve(search, probed, 'probed');
       }
-      if (search.signal.aborted) return 'caller-gone';
       if (this.now() + SEARCH_PAUSE_MS >= search.holdUntilMs) return this.conclude(search);
       await sleep(SEARCH_PAUSE_MS, search.signal);
     }
@@ -102,7 +106,7 @@
       ({ freeSlots, finishMs }) => freeSlots >= MIN_FREE_SLOTS && finishMs < leftMs,
     );
     if (slow === undefined || !search.acceptsSlow) return 'overloaded';
-    return this.describe(search, slow, 'slow');
+    return this.reserve(search, slow, 'slow');
   }
 
   /** Instances that may receive the request at all. */
@@ -156,28 +160,27 @@
     return slowdown <= GOOD_SLOWDOWN || finishMs <= (objectiveAtMs - this.now()) / 2;
   }
 
-  /** Probes the most promising instances; the first good one wins. */
-  private async probeFirstGood(
+  /** Probes the most promising instances until one is good, or all have answered; returns them. */
+  private async probeUntilGood(
     search: InstanceSearch,
     ranked: readonly PlacementEstimate[],
-  ): Promise<PlacementEstimate | undefined> {
+  ): Promise<readonly InstanceRuntime[]> {
     const { service } = search;
     const asked = ranked
       .filter(({ reportAgeMs }) => reportAgeMs >= FRESH_REPORT_MS)
       .slice(0, PROBE_WIDTH)
       .flatMap(({ candidate }) => service.find(candidate.instanceId) ?? []);
-    if (asked.length === 0) return undefined;
+    if (asked.length === 0) return asked;
     const first = new AbortController();
     const probes = asked.map(async (instance) => {
       await this.options.prober.probe(service, instance);
       if (this.bestOf(search, [instance]) !== undefined) first.abort();
     });
     const all = Promise.all(probes);
-    const isGoodOrLate = Promise.race([all, sleep(PROBE_TIMEOUT_MS, first.signal)]);
-    await isGoodOrLate;
+    await Promise.race([all, sleep(PROBE_TIMEOUT_MS, first.signal)]);
     // Another probe that is about to be answered may show an emptier instance.
     if (first.signal.aborted) await settlesWithin(all, PROBE_SETTLE_MS);
-    return this.bestOf(search, asked);
+    return asked;
   }
 
   private bestOf(
@@ -191,8 +194,9 @@
     return this.usableInstances(search).some(({ id }) => id === candidate.instanceId);
   }
 
+  /** Takes a place at the instance in the same step, before another search can choose it too. */
   // eslint-disable-next-line class-methods-use-this -- kept beside its only uses
-  private describe(
+  private reserve(
     { service }: InstanceSearch,
     estimate: PlacementEstimate,
     reason: FoundInstance['reason'],
@@ -200,6 +204,7 @@
     const instance = service.find(estimate.candidate.instanceId)!;
     return {
       instance,
+      release: instance.begin(service.coldLimit(instance)),
       expectedMs: estimate.finishMs,
       reportAgeMs: estimate.reportAgeMs,
       slowdown: instance.report?.slowdown ?? 1,
--- a/packages/gatewayDaemon/src/requestHandler.ts
+++ b/packages/gatewayDaemon/src/requestHandler.ts
@@ -106,7 +106,10 @@
       const acceptsSlow = work.service.utilization < SLOW_WORK_UTILIZATION;
       const found = await this.search(work, holdMs, acceptsSlow);
       if (typeof found === 'string') return this.answerMiss(work, found);
-      if (this.isTokenOffer(work)) return this.endWithoutOffer(work);
+      if (this.isTokenOffer(work)) {
+        found.release();
+        return this.endWithoutOffer(work);
+      }
       const sent = route.isIdempotent
         ? await this.sendWithHedge(work, found)
         : await this.send(work, found, request.signal);
@@ -156,14 +159,13 @@
     work.tried.add(instance.id);
     const isTrial = service.selector.isTrialDue(instance.id);
     const handle = service.selector.begin({ instanceId: instance.id, isTrial });
-    const end = instance.begin(service.coldLimit(instance));
     this.requestLog.sent(work, found, this.now());
     const attempt = await instance.send(
       this.toBackendRequest(work, instance.id),
       route.isIdempotent,
       signal,
     );
-    end();
+    found.release();
     work.noteAttempt(attempt);
     this.observe(work, { attempt, found });
     handle.end(
@@ -247,8 +249,12 @@
     const hasAttempts = work.tried.size < route.maxAttempts && !request.signal.aborted;
     if (!hasAttempts || service.retries.available < 1) return first;
     const second = await this.search(work, HEDGE_HOLD_MS, false);
-    if (typeof second === 'string' || (await settlesWithin(first, 0))) return first;
-    if (this.isTokenOffer(work) || !service.retries.take()) return first;
+    if (typeof second === 'string') return first;
+    const isDone = await settlesWithin(first, 0);
+    if (isDone || this.isTokenOffer(work) || !service.retries.take()) {
+      second.release();
+      return first;
+    }
     this.options.metrics.counter('bronzelift_hedges_total', { service: service.name }).increment();
     const secondAbort = createLinkedAbort(request.signal);
     const hedge = this.send(work, second, secondAbort.signal);
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -74,13 +74,15 @@
   const { report } = candidate;
   const reportAgeMs = report === undefined ? Infinity : need.nowMs - report.atMs;
   const trust = Math.exp(-reportAgeMs / PACE_MEMORY_MS);
-  const stated = report?.slowdown ?? need.usualSlowdown;
-  const slowdown = need.usualSlowdown + (stated - need.usualSlowdown) * trust;
+  const pace = report?.slowdown ?? need.usualSlowdown;
+  const slowdown = need.usualSlowdown + (pace - need.usualSlowdown) * trust;
   const slots = report?.slots ?? candidate.slots;
-  const busy =
+  const stated =
     report === undefined
-      ? candidate.ownInFlight
+      ? 0
       : (report.running + report.waiting) * fadeOccupancy(reportAgeMs) + candidate.sentSinceReport;
+  // Own requests are certain, however old the report.
+  const busy = Math.max(stated, candidate.ownInFlight);
   const workMs = need.workMs * slowdown * candidate.speedFactor;
   const queued = Math.max(busy - slots + 1, 0);
   const crowding = 1 + CROWDING_COST * Math.min(busy / Math.max(slots, 1), 1) ** 2;
