Remove unused constants; keep the settings' variable name in the adapter; one route fixture

Found by reading the change: two constants without a use, the name of the platform's variable in a test outside platform/ (the boundary test would have failed on it), one fixture written twice. No behaviour changes.

--- a/apps/gatewayd/tests/process.test.ts
+++ b/apps/gatewayd/tests/process.test.ts
@@ -9,6 +9,8 @@
 
 import { expect } from 'chai';
 
+import { SETTINGS_PATH_VARIABLE } from '@bronzelift/platform';
+
 const PROGRAM = fileURLToPath(new URL('../bin/bronzelift-gatewayd.js', import.meta.url));
 const FIRST_PORT = 20_150;
 
@@ -56,7 +58,7 @@
     const file = path.join(folder, 'settings.conf');
     await writeFile(file, settings);
     const started = spawn(process.execPath, [PROGRAM, ...args], {
-      env: { ...process.env, BRONZELIFT_BOOT: file },
+      env: { ...process.env, [SETTINGS_PATH_VARIABLE]: file },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     child = started;
--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -73,9 +73,8 @@
 /** Part of the remaining time kept back for the way of the answer. */
 export const ANSWER_MARGIN_MS = 5;
 
-/** Bounds of the retry-after of a refusal as a share of the latency objective. */
+/** Least retry-after of a refusal as a share of the latency objective. */
 export const RETRY_AFTER_MIN_SHARE = 0.2;
-export const RETRY_AFTER_MAX_SHARE = 0.5;
 
 /** Callers heed a retry-after of up to this share of their remaining time. */
 export const RETRY_AFTER_TIME_SHARE = 0.33;
@@ -128,9 +127,6 @@
 /** Time kept back from the stop grace for the exit itself. */
 export const STOP_RESERVE_MS = 400;
 
-/** A gap of the event loop above this is a pause of the process. */
-export const PAUSE_MS = 400;
-
 /** Time between two looks at whether this entry VM has become a reader of the store. */
 export const READER_IDLE_CHECK_MS = 150;
 
--- a/packages/gatewayDaemon/tests/routeTable.test.ts
+++ b/packages/gatewayDaemon/tests/routeTable.test.ts
@@ -1,26 +1,13 @@
 import { expect } from 'chai';
 
 import { RouteTable } from '../src/routeTable.js';
-import type { Route } from '../src/types.js';
-
-const createRoute = (name: string, host: string, pathPrefix: string): Route => ({
-  name,
-  host,
-  pathPrefix,
-  isIdempotent: true,
-  timeoutMs: 800,
-  latencyObjectiveMs: 200,
-  priority: 1,
-  parts: [{ service: 's', weight: 1 }],
-  maxAttempts: 2,
-  allowedRegions: [],
-});
+import { createRoute } from './support/createRoute.js';
 
 describe('RouteTable', () => {
   const table = RouteTable.create([
-    createRoute('short', 'a.example', '/x/'),
-    createRoute('long', 'a.example', '/x/y/'),
-    createRoute('other', 'b.example', '/'),
+    createRoute({ name: 'short', host: 'a.example', pathPrefix: '/x/' }),
+    createRoute({ name: 'long', host: 'a.example', pathPrefix: '/x/y/' }),
+    createRoute({ name: 'other', host: 'b.example', pathPrefix: '/' }),
   ]);
 
   // Guards against a request that is run by the service of another route.
--- a/packages/gatewayDaemon/tests/serviceRuntime.test.ts
+++ b/packages/gatewayDaemon/tests/serviceRuntime.test.ts
@@ -5,20 +5,9 @@
 import { DecisionLog, Metrics } from '@bronzelift/observability';
 
 import { ServiceRuntime } from '../src/serviceRuntime.js';
-import type { Route } from '../src/types.js';
+import { createRoute } from './support/createRoute.js';
 
-const route: Route = {
-  name: 'r',
-  host: 'a.example',
-  pathPrefix: '/',
-  isIdempotent: true,
-  timeoutMs: 800,
-  latencyObjectiveMs: 200,
-  priority: 1,
-  parts: [{ service: 's', weight: 1 }],
-  maxAttempts: 2,
-  allowedRegions: [],
-};
+const route = createRoute();
 
 const createService = (sharers = 14): ServiceRuntime => {
   const clock = ManualClock.create();
