Close connections before the idle time that backend servers state

An instance that closes earlier lets an order cross its close, which ends as unknown. Ruled out: a shorter constant, which would open connections anew at instances that keep them.

--- a/packages/backendClient/src/backendPool.ts
+++ b/packages/backendClient/src/backendPool.ts
@@ -133,12 +133,19 @@
     return this.conclude(known, result, sentAtMs);
   }
 
-  /** Closes connections that were idle for longer than the idle timeout, all but `minIdle`. */
+  /**
+   * Closes connections that were idle for longer than the idle timeout, all but `minIdle`, and those
+   * that their backend server is about to close.
+   */
   sweep(): void {
     const { idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS, minIdle = 0 } = this.options;
-    const expiredBeforeMs = this.now() - idleTimeoutMs;
+    const nowMs = this.now();
     const surplus = this.idle.slice(0, Math.max(this.idle.length - minIdle, 0));
-    const expired = surplus.filter(({ provenAtMs }) => provenAtMs < expiredBeforeMs);
+    const expired = this.idle.filter(
+      (connection) =>
+        connection.isStale(nowMs) ||
+        (surplus.includes(connection) && connection.provenAtMs < nowMs - idleTimeoutMs),
+    );
     for (const connection of expired) connection.close('idle', 'idle timeout');
   }
 
@@ -206,7 +213,7 @@
   ): BackendAttempt {
     const attempt = this.assertWholeAnswer(connection, result);
     if (attempt.kind === 'answered' || attempt.kind === 'refused') {
-      connection.markResponse(this.now());
+      connection.markResponse(this.now(), result.proof?.idleTimeoutMs);
     }
     if (result.isReusable && attempt === result.attempt) {
       this.park(connection);
--- a/packages/backendClient/src/constants.ts
+++ b/packages/backendClient/src/constants.ts
@@ -6,6 +6,12 @@
 /** Idle connections are closed after this time. */
 export const DEFAULT_IDLE_TIMEOUT_MS = 60_000;
 
+/**
+ * A connection is not used any more this long before its backend server closes it: a stated idle
+ * time counts whole seconds from the other end, and a request on its way must not cross the close.
+ */
+export const IDLE_CLOSE_MARGIN_MS = 600;
+
 /** Larger responses are not buffered. */
 export const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 
--- a/packages/backendClient/src/poolConnection.ts
+++ b/packages/backendClient/src/poolConnection.ts
@@ -3,12 +3,16 @@
 import { describeError } from '@bronzelift/common';
 import type { InstanceId } from '@bronzelift/common';
 
+import { IDLE_CLOSE_MARGIN_MS } from './constants.js';
 import type { BackendConnection, CloseReason, ConnectionNeed } from './types.js';
 
 /** A connection of a pool, with its socket. */
 export class PoolConnection implements BackendConnection {
   private responseAtMs: number | undefined;
 
+  /** Idle time within which the backend server keeps the connection open. */
+  private usableForMs = Infinity;
+
   private isReserved = true;
 
   private isSending = false;
@@ -94,14 +98,20 @@
     return true;
   }
 
-  /** Notes a complete response. */
-  markResponse(nowMs: number): void {
+  /** Notes a complete response, and the idle time that the backend server stated with it. */
+  markResponse(nowMs: number, idleTimeoutMs: number | undefined): void {
     this.responseAtMs = nowMs;
+    if (idleTimeoutMs !== undefined) this.usableForMs = idleTimeoutMs - IDLE_CLOSE_MARGIN_MS;
+  }
+
+  /** Whether the connection was idle for so long that its backend server may close it. */
+  isStale(nowMs: number): boolean {
+    return nowMs - this.provenAtMs > this.usableForMs;
   }
 
   /** Whether an idle connection fulfils a need. */
   fulfils(need: ConnectionNeed, nowMs: number): boolean {
-    if (!this.isOpen || need.isNew) return false;
+    if (!this.isOpen || need.isNew || this.isStale(nowMs)) return false;
     const { openedBeforeMs, provenWithinMs } = need;
     const isOldEnough = openedBeforeMs === undefined || this.openedAtMs < openedBeforeMs;
     const isProven = provenWithinMs === undefined || nowMs - this.provenAtMs <= provenWithinMs;
--- a/packages/backendClient/src/sendAttempt.ts
+++ b/packages/backendClient/src/sendAttempt.ts
@@ -13,7 +13,7 @@
   BackendResponse,
   SentFailureReason,
 } from './types.js';
-import { isBodyless, readContentLength } from './utils.js';
+import { isBodyless, readContentLength, readIdleTimeoutMs } from './utils.js';
 
 /** Surroundings of an attempt. */
 export interface AttemptContext {
@@ -33,6 +33,8 @@
   /** Undefined without a body or without a stated length. */
   readonly statedBytes: number | undefined;
   readonly isComplete: boolean;
+  /** Idle time after which the backend server closes the connection; undefined without one. */
+  readonly idleTimeoutMs: number | undefined;
 }
 
 /** An attempt and what it says about its connection. */
@@ -209,6 +211,7 @@
       answeredId: this.context.dialect.readAnsweredId(headers),
       statedBytes: isBodyless(method, statusCode!) ? undefined : readContentLength(headers),
       isComplete: complete,
+      idleTimeoutMs: readIdleTimeoutMs(headers),
     };
   }
 
--- a/packages/backendClient/src/utils.ts
+++ b/packages/backendClient/src/utils.ts
@@ -91,6 +91,14 @@
   };
 };
 
+const KEEP_ALIVE_TIMEOUT = /(?:^|,)\s*timeout\s*=\s*"?(\d+)/i;
+
+/** Idle time after which a backend server closes the connection; undefined when it states none. */
+export const readIdleTimeoutMs = (headers: IncomingHttpHeaders): number | undefined => {
+  const seconds = KEEP_ALIVE_TIMEOUT.exec(readText(headers['keep-alive']) ?? '')?.[1];
+  return seconds === undefined ? undefined : Number(seconds) * 1_000;
+};
+
 /** Length that a response states; undefined without one. */
 export const readContentLength = (headers: IncomingHttpHeaders): number | undefined =>
   readCount(headers['content-length']);
--- a/packages/backendClient/tests/backendPool.test.ts
+++ b/packages/backendClient/tests/backendPool.test.ts
@@ -100,6 +100,25 @@
     expect(server.sockets).to.have.length(1);
   });
 
+  // Guards against requests that cross the close of a connection: an order would end as unknown.
+  it('does not use a connection that its backend server is about to close', async () => {
+    const manualClock = ManualClock.create();
+    pool = createPool(8, 1000, manualClock);
+    server.handler = (socket, { requestId }) => {
+      socket.write(formatAnswer(requestId, 'ok', 'Keep-Alive: timeout=2, max=100\r\n'));
+    };
+    await send();
+    manualClock.advance(1_000);
+    await send();
+    expect(server.sockets).to.have.length(1);
+    manualClock.advance(1_700);
+    await send();
+    expect(server.sockets).to.have.length(2);
+    manualClock.advance(1_700);
+    pool.sweep();
+    expect(pool.stats()).to.deep.equal({ idle: 0, busy: 0, opening: 0 });
+  });
+
   it('sets its own headers, and strips them and hop-by-hop headers in both directions', async () => {
     server.handler = (socket, { requestId }) => {
       const extra =
