Read the store sooner after a start without peers

Ruled out: reading at once; a process that starts alone gets the state from peers and saves the calls. Change: wait 25 ms, which is enough for a seed and a reader to answer, and start the reader then.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -25,8 +25,11 @@
 /** A member that was silent for this time is forgotten. */
 export const MEMBER_FORGOTTEN_MS = 20_000;
 
-/** Time that a starting process waits for peers before it reads the store itself. */
-export const PEER_WAIT_MS = 120;
+/**
+ * Time that a starting process waits for peers before it reads the store itself: a seed answers, and
+ * a reader that the seed names, each after two crossings between failure domains.
+ */
+export const PEER_WAIT_MS = 25;
 
 /** Time between two searches for unknown members in the store. */
 export const MEMBER_SEARCH_MS = 20_000;
--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -96,8 +96,7 @@
     this.network.send(this.options.settings.seedHosts, this.heartbeat());
     this.runHeartbeats();
     this.runMemberSearch();
-    this.waitForPeers();
-    this.reader.start();
+    this.startReading();
   }
 
   /** Tells all members about a change of this entry VM's status at once. */
@@ -114,9 +113,10 @@
   }
 
   /** A start with peers takes over their state; without any it reads the store after a short wait. */
-  private async waitForPeers(): Promise<void> {
+  private async startReading(): Promise<void> {
     await sleep(PEER_WAIT_MS, this.stopped.signal);
     this.isWaitingForPeers = false;
+    this.reader.start();
   }
 
   private shouldRead(): boolean {
