Keep probes within what the instances bear

Change: each entry VM has a share of the rate (instances x allowed rate x 0.8 / members); without it a request is placed by estimate. The division of the cold rate and of probes is one class now. Figures: new test with 1, 14 and 60 members that probe all the time: 30 to 60 probes a second at one instance; without the limit the test does not end.

--- a/packages/gatewayDaemon/src/instanceFinder.ts
+++ b/packages/gatewayDaemon/src/instanceFinder.ts
@@ -57,7 +57,14 @@
   readonly reportAgeMs: number;
   readonly slowdown: number;
   readonly freeSlots: number;
-  readonly reason: 'fresh-report' | 'probed' | 'slow';
+  readonly reason: 'fresh-report' | 'probed' | 'estimate' | 'slow';
+}
+
+/** Instances whose probe answers a search waited for. */
+interface ProbedInstances {
+  readonly asked: readonly InstanceRuntime[];
+  /** Whether a probe was left out because this VM's share of the probes is spent. */
+  readonly isOverBudget: boolean;
 }
 
 /** Why a search found nothing. */
@@ -84,7 +91,7 @@
       const known = this.rank(search, usable);
       const fresh = known.find((estimate) => this.isGoodNow(search, estimate));
       if (fresh !== undefined) return this.reserve(search, fresh, 'fresh-report');
-      const asked = await this.probeUntilGood(search, known);
+      const { asked, isOverBudget } = await this.probeUntilGood(search, known);
       if (search.signal.aborted) return 'caller-gone';
       // Judged only here: other searches may have taken the places meanwhile, and registrations
       // may have changed.
@@ -92,11 +99,19 @@
       if (probed !== undefined && this.isStillUsable(search, probed)) {
         return this.reserve(search, probed, 'probed');
       }
+      const estimated = isOverBudget ? this.bestEstimate(search) : undefined;
+      if (estimated !== undefined) return this.reserve(search, estimated, 'estimate');
       if (this.now() + SEARCH_PAUSE_MS >= search.holdUntilMs) return this.conclude(search);
       await sleep(SEARCH_PAUSE_MS, search.signal);
     }
   }
 
+  /** The choice without fresh knowledge, when this VM has spent its share of the probes. */
+  private bestEstimate(search: InstanceSearch): PlacementEstimate | undefined {
+    const ranked = this.rank(search, this.usableInstances(search));
+    return ranked.find((estimate) => this.isGood(search, estimate));
+  }
+
   /** The end of a search: a slow instance that still answers in time, or a refusal. */
   private conclude(search: InstanceSearch): FoundInstance | SearchMiss {
     const usable = this.usableInstances(search);
@@ -160,27 +175,29 @@
     return slowdown <= GOOD_SLOWDOWN || finishMs <= (objectiveAtMs - this.now()) / 2;
   }
 
-  /** Probes the most promising instances until one is good, or all have answered; returns them. */
+  /** Probes the most promising instances until one is good, or all have answered. */
   private async probeUntilGood(
     search: InstanceSearch,
     ranked: readonly PlacementEstimate[],
-  ): Promise<readonly InstanceRuntime[]> {
+  ): Promise<ProbedInstances> {
     const { service } = search;
     const asked = ranked
       .filter(({ reportAgeMs }) => reportAgeMs >= FRESH_REPORT_MS)
       .slice(0, PROBE_WIDTH)
       .flatMap(({ candidate }) => service.find(candidate.instanceId) ?? []);
-    if (asked.length === 0) return asked;
+    if (asked.length === 0) return { asked, isOverBudget: false };
     const first = new AbortController();
+    let isOverBudget = false;
     const probes = asked.map(async (instance) => {
-      await this.options.prober.probe(service, instance);
+      const { kind } = await this.options.prober.probe(service, instance);
+      if (kind === 'over-budget') isOverBudget = true;
       if (this.bestOf(search, [instance]) !== undefined) first.abort();
     });
     const all = Promise.all(probes);
     await Promise.race([all, sleep(PROBE_TIMEOUT_MS, first.signal)]);
     // Another probe that is about to be answered may show an emptier instance.
     if (first.signal.aborted) await settlesWithin(all, PROBE_SETTLE_MS);
-    return asked;
+    return { asked, isOverBudget };
   }
 
   private bestOf(
--- a/packages/gatewayDaemon/src/instanceRuntime.ts
+++ b/packages/gatewayDaemon/src/instanceRuntime.ts
@@ -3,8 +3,8 @@
 import type { Clock } from '@bronzelift/common';
 import { SpeedTracker } from '@bronzelift/routing';
 import type { LoadReport, PlacementCandidate } from '@bronzelift/routing';
-import { ColdRateLimit } from '@bronzelift/slots';
-import type { ColdRateSettings } from '@bronzelift/slots';
+import { COLD_RATE_DIVISION, SharedRateLimit } from '@bronzelift/slots';
+import type { SharedRate } from '@bronzelift/slots';
 
 import {
   CONNECTION_IDLE_MS,
@@ -37,7 +37,7 @@
 
   private coldUntilMs: number;
 
-  private coldLimit: ColdRateLimit;
+  private coldLimit: SharedRateLimit;
 
   private lastHealthAtMs = -Infinity;
 
@@ -53,7 +53,7 @@
   ) {
     const nowMs = options.clock.monotonicMs();
     this.coldUntilMs = nowMs + currentRecord.coldForMs;
-    this.coldLimit = ColdRateLimit.create(options.clock);
+    this.coldLimit = SharedRateLimit.create(options.clock, COLD_RATE_DIVISION);
     this.failureShareAtMs = nowMs;
     this.pool = BackendPool.create({
       instanceId: currentRecord.id,
@@ -123,7 +123,7 @@
   }
 
   /** Whether the cold limit lets a request through; always for a warm instance. */
-  isOpen(limit: ColdRateSettings): boolean {
+  isOpen(limit: SharedRate): boolean {
     return !this.isCold || this.coldLimit.isOpen(limit);
   }
 
@@ -156,7 +156,7 @@
   }
 
   /** Counts a request from here on; the returned function ends it. */
-  begin(limit: ColdRateSettings): () => void {
+  begin(limit: SharedRate): () => void {
     if (this.isCold) this.coldLimit.spend(limit);
     const start = { atMs: this.now() };
     this.startsMs.add(start);
@@ -227,7 +227,9 @@
     const nowMs = this.now();
     const wasCold = nowMs < this.coldUntilMs;
     this.coldUntilMs = nowMs + coldForMs;
-    if (coldForMs > 0 && !wasCold) this.coldLimit = ColdRateLimit.create(this.options.clock);
+    if (coldForMs > 0 && !wasCold) {
+      this.coldLimit = SharedRateLimit.create(this.options.clock, COLD_RATE_DIVISION);
+    }
   }
 
   private now(): number {
--- a/packages/gatewayDaemon/src/prober.ts
+++ b/packages/gatewayDaemon/src/prober.ts
@@ -14,7 +14,9 @@
   | { readonly kind: 'answered'; readonly isHealthy: boolean }
   /** Another instance has the address now. */
   | { readonly kind: 'replaced'; readonly foundId: string }
-  | { readonly kind: 'failed'; readonly detail: string };
+  | { readonly kind: 'failed'; readonly detail: string }
+  /** The share of this entry VM in the probes of the service is spent; nothing was sent. */
+  | { readonly kind: 'over-budget' };
 
 /** Parameters of a prober. */
 export interface ProberOptions {
@@ -40,6 +42,12 @@
   probe(service: ServiceRuntime, instance: InstanceRuntime): Promise<ProbeResult> {
     const known = this.running.get(instance);
     if (known !== undefined) return known;
+    if (!service.tryProbe()) {
+      this.options.metrics
+        .counter('bronzelift_probes_over_budget_total', { service: service.name })
+        .increment();
+      return Promise.resolve({ kind: 'over-budget' });
+    }
     const probe = this.run(service, instance).finally(() => this.running.delete(instance));
     this.running.set(instance, probe);
     return probe;
--- a/packages/gatewayDaemon/src/serviceRuntime.ts
+++ b/packages/gatewayDaemon/src/serviceRuntime.ts
@@ -7,8 +7,8 @@
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 import { InstanceSelector, RetryBudget, UsualSlowdown } from '@bronzelift/routing';
 import type { EjectionChange } from '@bronzelift/routing';
-import { COLD_RATE_PER_SHARER } from '@bronzelift/slots';
-import type { ColdRateSettings } from '@bronzelift/slots';
+import { COLD_RATE_PER_SHARER, PROBE_RATE_DIVISION, SharedRateLimit } from '@bronzelift/slots';
+import type { SharedRate } from '@bronzelift/slots';
 
 import {
   CONNECTION_SHARE,
@@ -55,6 +55,8 @@
 
   private readonly retryBudget: RetryBudget;
 
+  private readonly probeLimit: SharedRateLimit;
+
   /** Time that the requests of a route take at usual pace. */
   private readonly workMsOfRoute = new Map<string, number>();
 
@@ -80,6 +82,7 @@
       onEjectionChange: (change) => this.logEjection(change),
     });
     this.refusals = RefusalPacer.create(clock, random);
+    this.probeLimit = SharedRateLimit.create(clock, PROBE_RATE_DIVISION);
     this.retryBudget = RetryBudget.create(
       options.bounds.retryRatio * RETRY_BUDGET_SHARE,
       this.shareOfRetries(),
@@ -171,12 +174,22 @@
   }
 
   /** Share of this entry VM in what a cold instance bears. */
-  coldLimit(instance: InstanceRuntime): ColdRateSettings {
-    const requestsPerS = this.currentPolicy?.coldRequestsPerS ?? 0;
-    if (!instance.isCold) return { requestsPerS, sharers: 0 };
-    const maxSharers = Math.floor(requestsPerS / COLD_RATE_PER_SHARER);
+  coldLimit(instance: InstanceRuntime): SharedRate {
+    const ratePerS = this.currentPolicy?.coldRequestsPerS ?? 0;
+    if (!instance.isCold) return { ratePerS, sharers: 0 };
+    const maxSharers = Math.floor(ratePerS / COLD_RATE_PER_SHARER);
     const sharers = this.options.countColdSharers(instance.record, maxSharers);
-    return { requestsPerS, sharers };
+    return { ratePerS, sharers };
+  }
+
+  /** Takes a probe from this entry VM's share of what the instances bear; false when it is spent. */
+  tryProbe(): boolean {
+    const { bounds, countSharers } = this.options;
+    const ratePerS = bounds.probesPerS * this.instancesById.size;
+    const rate = { ratePerS, sharers: countSharers() };
+    if (!this.probeLimit.isOpen(rate)) return false;
+    this.probeLimit.spend(rate);
+    return true;
   }
 
   /** Time that a request of a route takes at usual pace. */
--- a/packages/gatewayDaemon/tests/controlState.test.ts
+++ b/packages/gatewayDaemon/tests/controlState.test.ts
@@ -6,22 +6,10 @@
 import { LAPSE_GRACE_MS } from '../src/constants.js';
 import { ControlState } from '../src/controlState.js';
 import type { GatewayConfiguration, InstanceChange, InstanceRecord } from '../src/types.js';
+import { createRecord } from './support/createRecord.js';
 
 const seedOption = process.env.SEED === undefined ? {} : { seed: Number(process.env.SEED) };
 
-const createRecord = (id: string, fields: Partial<InstanceRecord> = {}): InstanceRecord => ({
-  id,
-  service: 'fitting',
-  endpoint: { host: '10.0.0.1', port: 80 },
-  failureDomainId: 'a',
-  slots: 4,
-  isDraining: false,
-  coldForMs: 0,
-  startedAtWallMs: 1,
-  sequence: 1,
-  ...fields,
-});
-
 const createConfiguration = (version: number): GatewayConfiguration => ({
   version,
   routes: [],
--- a/packages/gatewayDaemon/tests/memberTable.test.ts
+++ b/packages/gatewayDaemon/tests/memberTable.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 
 import { ManualClock, SeededRandom } from '@bronzelift/common';
-import { COLD_RATE_PER_SHARER, ColdRateLimit } from '@bronzelift/slots';
+import { COLD_RATE_DIVISION, COLD_RATE_PER_SHARER, SharedRateLimit } from '@bronzelift/slots';
 
 import { MEMBER_SILENT_MS, READER_COUNT } from '../src/constants.js';
 import { MemberTable } from '../src/memberTable.js';
@@ -80,11 +80,11 @@
       fc.property(limits, ({ members, requestsPerS, seed }) => {
         const { tables, clock } = createTables(range(members).map((index) => createStatus(index)));
         const maxSharers = Math.floor(requestsPerS / COLD_RATE_PER_SHARER);
-        const limit = { requestsPerS };
+        const limit = { ratePerS: requestsPerS };
         const random = SeededRandom.create(seed);
         const senders = tables.map((table) => ({
           settings: { ...limit, sharers: table.countColdSharers('i-1', 'a', maxSharers) },
-          bucket: ColdRateLimit.create(clock),
+          bucket: SharedRateLimit.create(clock, COLD_RATE_DIVISION),
         }));
         const sentAtMs: number[] = [];
         for (let step = 0; step < 300; step += 1) {
--- a/packages/gatewayDaemon/tests/serviceRuntime.test.ts
+++ b/packages/gatewayDaemon/tests/serviceRuntime.test.ts
@@ -5,13 +5,13 @@
 import { DecisionLog, Metrics } from '@bronzelift/observability';
 
 import { ServiceRuntime } from '../src/serviceRuntime.js';
+import { createRecord } from './support/createRecord.js';
 import { createRoute } from './support/createRoute.js';
 
 const route = createRoute();
 
-const createService = (sharers = 14): ServiceRuntime => {
-  const clock = ManualClock.create();
-  return ServiceRuntime.create('s', undefined, {
+const createService = (sharers = 14, clock = ManualClock.create()): ServiceRuntime =>
+  ServiceRuntime.create('s', undefined, {
     clock,
     random: SeededRandom.create(1),
     log: DecisionLog.create({ clock, sink: () => Promise.resolve() }),
@@ -28,7 +28,6 @@
     countColdSharers: () => 1,
     onViolation: () => {},
   });
-};
 
 describe('ServiceRuntime', () => {
   // Guards against taking every caller for one that was refused before.
@@ -60,4 +59,20 @@
       expect(granted).to.be.at.most(requestsOfAll * 0.2 + slack);
     }
   });
+
+  // Guards against more probes than the instances bear, when all members search all the time.
+  it('hands out no more probes than the instances bear', () => {
+    const seconds = 40;
+    for (const sharers of [1, 14, 60]) {
+      const clock = ManualClock.create();
+      const members = Array.from({ length: sharers }, () => createService(sharers, clock));
+      for (const service of members) service.setInstance(createRecord('i-1'));
+      let granted = 0;
+      for (let step = 0; step < seconds * 100; step += 1) {
+        clock.advance(10);
+        for (const service of members) while (service.tryProbe()) granted += 1;
+      }
+      expect(granted / seconds).to.be.within(30, 60);
+    }
+  });
 });
--- a/packages/slots/src/constants.ts
+++ b/packages/slots/src/constants.ts
@@ -1,3 +1,5 @@
+import type { RateDivision } from './sharedRateLimit.js';
+
 /** Slots that a just-started instance can handle, unless configured. */
 export const DEFAULT_COLD_SLOTS = 1;
 
@@ -35,14 +37,27 @@
 /** Backend milliseconds per second that probes may cost for each instance, unless configured. */
 export const DEFAULT_PROBE_BUDGET_MS_PER_S = 20;
 
-/** Share of the rate of a cold instance that is used; the rest covers members not yet known. */
-export const COLD_RATE_SHARE = 0.9;
-
-/** Requests that an entry VM may send to a cold instance at once. */
-export const COLD_BURST_REQUESTS = 1;
+/**
+ * Division of what a cold instance bears: a tenth is kept back for members not yet known, and each
+ * entry VM may send a single request at once.
+ */
+export const COLD_RATE_DIVISION: RateDivision = {
+  usedShare: 0.9,
+  minBurst: 1,
+  keptMs: 0,
+  minSharers: 4,
+};
 
-/** Entry VMs assumed to share a cold instance while fewer are known, as after a start. */
-export const MIN_COLD_SHARERS = 4;
+/**
+ * Division of the probes that the instances of a service bear: a fifth is kept back for bursts and
+ * members not yet known. The least burst is one search; a second's share covers uneven arrivals.
+ */
+export const PROBE_RATE_DIVISION: RateDivision = {
+  usedShare: 0.8,
+  minBurst: 3,
+  keptMs: 1_000,
+  minSharers: 1,
+};
 
 /**
  * A cold instance is used by one entry VM for each of so many requests per second that it bears.
--- a/packages/slots/src/index.ts
+++ b/packages/slots/src/index.ts
@@ -1,5 +1,5 @@
 export * from './assignSlots.js';
-export * from './coldRateLimit.js';
+export * from './sharedRateLimit.js';
 export * from './constants.js';
 export * from './instanceAllowance.js';
 export * from './probeBudget.js';
