Make second attempts while they can still meet the objective

Change: planHedge gives an earlier time at which the instance is probed; a second attempt follows if it has become slow or does not answer, else at 1.7 times as before. The part of the retry budget that belongs to counted requests is used to nine tenths.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -85,11 +85,14 @@
 /** Retry-after while the process knows no configuration; a start takes about this long. */
 export const RETRY_AFTER_WITHOUT_STATE_MS = 250;
 
-/** Share of the system's retry budget that is handed out; the rest covers unknown members. */
-export const RETRY_BUDGET_SHARE = 0.65;
+/** Share of the system's retries for each request that is used; requests are counted exactly. */
+export const RETRY_RATIO_SHARE = 0.9;
 
-/** A second attempt is made after this multiple of the expected time. */
-export const HEDGE_FACTOR = 1.7;
+/**
+ * Share of the system's retries beside the requests that is handed out; the rest covers unknown
+ * members and processes that start with a full share again.
+ */
+export const RETRY_SLACK_SHARE = 0.65;
 
 /** Share of the system's connections to an instance that is handed out. */
 export const CONNECTION_SHARE = 0.7;
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -238,11 +238,12 @@
   private createHandler(): RequestHandler {
     const { clock, random, settings } = this.options;
     const { log, metrics, state } = this;
+    const prober = Prober.create({ clock, log, metrics });
     const finder = InstanceFinder.create({
       clock,
       random,
       ownDomainId: settings.failureDomainId,
-      prober: Prober.create({ clock, log, metrics }),
+      prober,
       isDomainOut: (id) => state.isDomainOut(id),
       isRegionAllowed: (id, { allowedRegions }) =>
         allowedRegions.length === 0 ||
@@ -255,6 +256,7 @@
       metrics,
       state,
       finder,
+      prober,
       findService: (name) => this.services.get(name),
     });
   }
--- a/packages/gatewayDaemon/src/requestHandler.ts
+++ b/packages/gatewayDaemon/src/requestHandler.ts
@@ -2,16 +2,17 @@
 import { assertNever, createLinkedAbort, settlesWithin } from '@bronzelift/common';
 import type { Clock, InstanceId, RandomSource, ServiceName } from '@bronzelift/common';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
-import { WeightedSplit, decideRetry, observeAttempt } from '@bronzelift/routing';
+import { WeightedSplit, decideRetry, observeAttempt, planHedge } from '@bronzelift/routing';
 
 import {
   ANSWER_MARGIN_MS,
-  HEDGE_FACTOR,
+  GOOD_SLOWDOWN,
   HEDGE_HOLD_MS,
   HEDGE_SLOW_FACTOR,
   HOLD_SHARE,
   MAX_TRIED,
   MIN_OFFER_SHARE,
+  PROBE_TIMEOUT_MS,
   RETRY_AFTER_MIN_SHARE,
   RETRY_AFTER_TIME_SHARE,
   RETRY_AFTER_WITHOUT_STATE_MS,
@@ -21,6 +22,7 @@
 } from './constants.js';
 import type { ControlState } from './controlState.js';
 import type { FoundInstance, InstanceFinder, SearchMiss } from './instanceFinder.js';
+import type { Prober } from './prober.js';
 import { RequestLog } from './requestLog.js';
 import type { ServiceRuntime } from './serviceRuntime.js';
 import { Work } from './work.js';
@@ -34,6 +36,7 @@
   readonly metrics: Metrics;
   readonly state: ControlState;
   readonly finder: InstanceFinder;
+  readonly prober: Prober;
   readonly findService: (name: ServiceName) => ServiceRuntime | undefined;
 }
 
@@ -244,10 +247,23 @@
     const { request, service, route } = work;
     const firstAbort = createLinkedAbort(request.signal);
     const first = this.send(work, found, firstAbort.signal);
-    const hedgeAfterMs = Math.max(found.expectedMs, service.workMs(route)) * HEDGE_FACTOR;
-    if (await settlesWithin(first, hedgeAfterMs)) return first;
-    const hasAttempts = work.tried.size < route.maxAttempts && !request.signal.aborted;
-    if (!hasAttempts || service.retries.available < 1) return first;
+    const { checkAfterMs, hedgeAfterMs } = planHedge({
+      expectedMs: found.expectedMs,
+      workMs: service.workMs(route),
+      objectiveLeftMs: work.objectiveAtMs - this.now(),
+    });
+    const startedAtMs = this.now();
+    const mayHedge = (): boolean =>
+      work.tried.size < route.maxAttempts &&
+      !request.signal.aborted &&
+      service.retries.available >= 1;
+    if (await settlesWithin(first, checkAfterMs)) return first;
+    if (!mayHedge()) return first;
+    if (checkAfterMs < hedgeAfterMs && !(await this.hasSlowed(work, found))) {
+      const leftMs = startedAtMs + hedgeAfterMs - this.now();
+      if (await settlesWithin(first, leftMs)) return first;
+      if (!mayHedge()) return first;
+    }
     const second = await this.search(work, HEDGE_HOLD_MS, false);
     if (typeof second === 'string') return first;
     const isDone = await settlesWithin(first, 0);
@@ -269,6 +285,13 @@
     return earlier.sent;
   }
 
+  /** Whether the instance of an attempt works slowly now, or does not say. */
+  private async hasSlowed({ service }: Work, { instance }: FoundInstance): Promise<boolean> {
+    const probe = this.options.prober.probe(service, instance);
+    if (!(await settlesWithin(probe, PROBE_TIMEOUT_MS))) return true;
+    return (instance.report?.slowdown ?? 1) > GOOD_SLOWDOWN;
+  }
+
   /** Decides what follows an attempt. */
   private conclude(work: Work, { attempt, found }: Sent): GatewayAnswer | 'retry' {
     const { request, route, service } = work;
--- a/packages/gatewayDaemon/src/serviceRuntime.ts
+++ b/packages/gatewayDaemon/src/serviceRuntime.ts
@@ -18,7 +18,8 @@
   MAX_SEARCHES,
   MIN_CONNECTIONS_PER_INSTANCE,
   MIN_WAITED_BEFORE_MS,
-  RETRY_BUDGET_SHARE,
+  RETRY_RATIO_SHARE,
+  RETRY_SLACK_SHARE,
   UTILIZATION_WEIGHT,
   WORK_WEIGHT,
 } from './constants.js';
@@ -84,7 +85,7 @@
     this.refusals = RefusalPacer.create(clock, random);
     this.probeLimit = SharedRateLimit.create(clock, PROBE_RATE_DIVISION);
     this.retryBudget = RetryBudget.create(
-      options.bounds.retryRatio * RETRY_BUDGET_SHARE,
+      options.bounds.retryRatio * RETRY_RATIO_SHARE,
       this.shareOfRetries(),
     );
   }
@@ -242,7 +243,7 @@
 
   private shareOfRetries(): number {
     const { retrySlack } = this.options.bounds;
-    const share = (retrySlack * RETRY_BUDGET_SHARE) / this.options.countSharers();
+    const share = (retrySlack * RETRY_SLACK_SHARE) / this.options.countSharers();
     return Math.max(Math.floor(share), 1);
   }
 
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -117,3 +117,12 @@
 
 /** Added time at an instance with all slots in use, as a share; some slow down when nearly full. */
 export const CROWDING_COST = 0.5;
+
+/** A second attempt is due after this multiple of the expected time; work itself varies by a third. */
+export const HEDGE_FACTOR = 1.7;
+
+/** An attempt is not checked before this multiple of the work, which one request in six exceeds. */
+export const MIN_HEDGE_FACTOR = 1.3;
+
+/** Time that a second attempt needs to meet the objective, as a multiple of the work. */
+export const HEDGE_RESERVE_FACTOR = 1.35;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,6 +7,7 @@
 export * from './latencyQuantile.js';
 export * from './observeAttempt.js';
 export * from './placement.js';
+export * from './planHedge.js';
 export * from './usualSlowdown.js';
 export * from './weightedSplit.js';
 export * from './retryBudget.js';
