Cancel all requests of a connection that closes, also those behind another

Cause: callers of some services send requests behind another on a connection. Node gives only the first answer the socket, so that the others never saw its end: their work went on at the instances, and they stayed counted as in flight. A stop then waited until the grace was over. Change: each request listens to the end of its connection as well as to that of its answer.

--- a/packages/gatewayDaemon/src/frontServer.ts
+++ b/packages/gatewayDaemon/src/frontServer.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, OutgoingHttpHeaders, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 
 import { assertNever, describeError } from '@bronzelift/common';
 import type { Clock } from '@bronzelift/common';
@@ -67,6 +68,8 @@
         });
       },
     );
+    // One listener for each request that waits on a connection.
+    this.server.on('connection', (socket) => socket.setMaxListeners(0));
   }
 
   /** Creates the server; it listens after `server.listen`. */
@@ -88,14 +91,7 @@
 
   private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = this.options.clock.monotonicMs();
-    this.inFlightCount += 1;
-    response.once('close', () => {
-      this.inFlightCount -= 1;
-    });
-    const caller = new AbortController();
-    response.once('close', () => {
-      if (!response.writableFinished) caller.abort();
-    });
+    const caller = this.trackCaller(message.socket, response);
     const { requestId, waitMs } = this.options.protocol.readCallerHeaders(message.headers);
     if (requestId === undefined) {
       this.write(response, 400, {}, 'the request has no id');
@@ -123,6 +119,25 @@
     if (!caller.signal.aborted) this.writeAnswer(response, answer);
   }
 
+  /** Counts a request until its answer is written or its connection closes, which cancels it. */
+  private trackCaller(socket: Socket, response: ServerResponse): AbortController {
+    const caller = new AbortController();
+    this.inFlightCount += 1;
+    let isOver = false;
+    const end = (): void => {
+      if (isOver) return;
+      isOver = true;
+      response.off('close', end);
+      socket.off('close', end);
+      this.inFlightCount -= 1;
+      if (!response.writableFinished) caller.abort();
+    };
+    response.once('close', end);
+    // An answer that waits behind another one has no socket yet and does not see its end.
+    socket.once('close', end);
+    return caller;
+  }
+
   private writeAnswer(response: ServerResponse, answer: GatewayAnswer): void {
     switch (answer.kind) {
       case 'answered':
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -162,6 +162,11 @@
     }, SWEEP_MS);
   }
 
+  /** Requests of callers without an answer yet. */
+  get inFlight(): number {
+    return this.front.inFlight;
+  }
+
   /** Notes that the settings file has changed; addresses and ids of a process stay as they are. */
   reload(): void {
     this.log.info(LogComponent.daemon, 'reload requested', { effect: 'settings kept' });
