--- a/apps/gatewayd/src/main.ts
+++ b/apps/gatewayd/src/main.ts
@@ -1,9 +1,15 @@
-import { Cli } from 'clipanion';
+import { Builtins, Cli } from 'clipanion';
 
 import { CheckCommand } from './checkCommand.js';
 import { RunCommand } from './runCommand.js';
 
-const cli = new Cli({ binaryName: 'bronzelift-gatewayd', binaryVersion: '0.1.0' });
+const cli = new Cli({
+  binaryName: 'bronzelift-gatewayd',
+  binaryVersion: '0.1.0',
+  binaryLabel: 'bronzelift gateway daemon',
+});
+cli.register(Builtins.HelpCommand);
+cli.register(Builtins.VersionCommand);
 cli.register(RunCommand);
 cli.register(CheckCommand);
 cli
--- a/apps/gatewayd/tests/process.test.ts
+++ b/apps/gatewayd/tests/process.test.ts
@@ -94,6 +94,34 @@
     expect(output.out).to.match(/\[daemon\] stopped/);
   });
 
+  // Guards against an outage in which the metrics do not show what the process knows.
+  it('serves its state as metrics, also without its store', async () => {
+    await start(SETTINGS, 'run', '--metrics-port', String(FIRST_PORT + 7));
+    await waitForStatus(FIRST_PORT + 1);
+    const response = await fetch(`http://127.0.0.1:${FIRST_PORT + 7}/metrics`);
+    const text = await response.text();
+    const names = [
+      'bronzelift_requests_in_flight 0',
+      'bronzelift_members 1',
+      'bronzelift_operator_revision 0',
+      'bronzelift_resident_memory_bytes',
+      'bronzelift_event_loop_delay_seconds',
+      'bronzelift_log_lines{state="left-out"} 0',
+    ];
+    for (const name of names) expect(text).to.include(name);
+  });
+
+  it('prints its version and its commands', async () => {
+    for (const [argument, expected] of [
+      ['--version', /^\d+\.\d+\.\d+\n$/],
+      ['--help', /bronzelift-gatewayd check/],
+    ] as const) {
+      const { started, output } = await start(SETTINGS, argument);
+      expect((await once(started, 'exit'))[0]).to.equal(0);
+      expect(output.out).to.match(expected);
+    }
+  });
+
   // Guards against a start with wrong settings that fails later and one mistake at a time.
   it('names all mistakes of its settings and exits with 2', async () => {
     const wrong = SETTINGS.replace('node=edge-1', 'node=').replace('=1500ms', '=soon');
--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -82,8 +82,11 @@
 /** Callers heed a retry-after of up to this share of their remaining time. */
 export const RETRY_AFTER_TIME_SHARE = 0.33;
 
-/** Retry-after while the process knows no configuration; a start takes about this long. */
-export const RETRY_AFTER_WITHOUT_STATE_MS = 250;
+/**
+ * Least retry-after while the process knows no configuration: a start has its state from peers or
+ * the store within 50 to 80 ms, and callers return once only. Returns spread over twice this time.
+ */
+export const RETRY_AFTER_WITHOUT_STATE_MS = 100;
 
 /** Share of the system's retries for each request that is used; requests are counted exactly. */
 export const RETRY_RATIO_SHARE = 0.9;
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -25,6 +25,7 @@
 import { Prober } from './prober.js';
 import { RequestHandler } from './requestHandler.js';
 import { ServiceRuntime } from './serviceRuntime.js';
+import { StateGauges } from './stateGauges.js';
 import type {
   ControlStore,
   GatewayConfiguration,
@@ -77,6 +78,8 @@
 
   private readonly control: ControlPlane;
 
+  private readonly gauges: StateGauges;
+
   private readonly front: FrontServer;
 
   private readonly servers: Server[] = [];
@@ -118,6 +121,16 @@
       members: this.members,
       ownStatus: () => this.ownStatus(),
     });
+    this.gauges = StateGauges.create({
+      clock,
+      log: this.log,
+      metrics: this.metrics,
+      state: this.state,
+      members: this.members,
+      control: this.control,
+      services: this.services,
+      countInFlight: () => this.front.inFlight,
+    });
     this.front = FrontServer.create({
       clock,
       log: this.log,
@@ -157,7 +170,11 @@
       this.control.start(),
     ]);
     if (metricsPort !== undefined) await this.serveMetrics(metricsPort);
+    let dueAtMs = this.options.clock.monotonicMs() + SWEEP_MS;
     this.sweepTimer = setInterval(() => {
+      const nowMs = this.options.clock.monotonicMs();
+      this.gauges.noteTimerDelay(nowMs - dueAtMs);
+      dueAtMs = nowMs + SWEEP_MS;
       for (const service of this.services.values()) service.sweep();
     }, SWEEP_MS);
   }
@@ -281,6 +298,7 @@
       this.serviceOf(name).setPolicy(policies.get(name), routesOfService.get(name) ?? []);
     }
     this.front.setLimits(limits);
+    this.gauges.noteConfiguration();
     this.log.info(LogComponent.config, 'configuration in force', {
       version,
       revision: this.state.revision,
@@ -338,6 +356,7 @@
 
   private async serveMetrics(port: number): Promise<void> {
     const server = createServer((_message, response) => {
+      this.gauges.update();
       response.setHeader('content-type', 'text/plain; version=0.0.4');
       response.end(this.metrics.formatPrometheus());
     });
--- /dev/null
+++ b/packages/gatewayDaemon/src/stateGauges.ts
@@ -0,0 +1,105 @@
+import type { Clock } from '@bronzelift/common';
+import type { DecisionLog, Metrics } from '@bronzelift/observability';
+
+import type { ControlPlane } from './controlPlane.js';
+import type { ControlState } from './controlState.js';
+import type { MemberTable } from './memberTable.js';
+import type { ServiceRuntime } from './serviceRuntime.js';
+
+const MS_PER_S = 1_000;
+
+/** What the gauges describe. */
+export interface StateGaugesOptions {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly metrics: Metrics;
+  readonly state: ControlState;
+  readonly members: MemberTable;
+  readonly control: ControlPlane;
+  readonly services: ReadonlyMap<string, ServiceRuntime>;
+  /** Requests of callers without an answer. */
+  readonly countInFlight: () => number;
+}
+
+/** Gauges of the state of an entry VM. They are set when metrics are read, so that they cost nothing else. */
+export class StateGauges {
+  private configurationAtMs: number | undefined;
+
+  private timerDelayMs = 0;
+
+  private constructor(private readonly options: StateGaugesOptions) {}
+
+  /** Creates the gauges. */
+  static create(options: StateGaugesOptions): StateGauges {
+    return new StateGauges(options);
+  }
+
+  /** Notes that a configuration came into force. */
+  noteConfiguration(): void {
+    this.configurationAtMs = this.options.clock.monotonicMs();
+  }
+
+  /** Notes how late a periodic timer ran; the event loop was busy for that long. */
+  noteTimerDelay(delayMs: number): void {
+    this.timerDelayMs = Math.max(delayMs, 0);
+  }
+
+  /** Sets all gauges to the present state. */
+  update(): void {
+    this.updateProcess();
+    this.updateState();
+    for (const service of this.options.services.values()) this.updateService(service);
+  }
+
+  private updateProcess(): void {
+    const { metrics, log, countInFlight } = this.options;
+    const { written, dropped, buffered } = log.counts();
+    metrics.gauge('bronzelift_requests_in_flight').set(countInFlight());
+    metrics.gauge('bronzelift_event_loop_delay_seconds').set(this.timerDelayMs / MS_PER_S);
+    metrics.gauge('bronzelift_resident_memory_bytes').set(process.memoryUsage.rss());
+    metrics.gauge('bronzelift_log_lines', { state: 'written' }).set(written);
+    metrics.gauge('bronzelift_log_lines', { state: 'left-out' }).set(dropped);
+    metrics.gauge('bronzelift_log_lines', { state: 'waiting' }).set(buffered);
+  }
+
+  private updateState(): void {
+    const { clock, metrics, state, members, control } = this.options;
+    const { configuration, revision } = state;
+    if (configuration !== undefined) {
+      metrics.gauge('bronzelift_configuration_version').set(configuration.version);
+    }
+    if (this.configurationAtMs !== undefined) {
+      const ageMs = clock.monotonicMs() - this.configurationAtMs;
+      metrics.gauge('bronzelift_configuration_age_seconds').set(ageMs / MS_PER_S);
+    }
+    metrics.gauge('bronzelift_operator_revision').set(revision);
+    metrics.gauge('bronzelift_instance_list_offset').set(state.nextInstanceOffset ?? -1);
+    metrics.gauge('bronzelift_members').set(members.live().length + 1);
+    metrics.gauge('bronzelift_store_reader').set(Number(control.isReader));
+    metrics.gauge('bronzelift_store_failing').set(Number(members.isOwnStoreFailing));
+  }
+
+  private updateService(service: ServiceRuntime): void {
+    const { metrics } = this.options;
+    const labels = { service: service.name };
+    const instances = [...service.instances];
+    const count = (isCounted: (instance: (typeof instances)[number]) => boolean): number =>
+      instances.filter(isCounted).length;
+    const counts = {
+      registered: instances.length,
+      draining: count(({ record }) => record.isDraining),
+      cold: count(({ isCold }) => isCold),
+      ejected: count(({ id }) => !service.selector.isUsable(id)),
+    };
+    for (const [condition, value] of Object.entries(counts)) {
+      metrics.gauge('bronzelift_instances', { ...labels, condition }).set(value);
+    }
+    const { pending, size } = service.searches;
+    const inFlight = instances.reduce((sum, { ownInFlight }) => sum + ownInFlight, 0);
+    metrics.gauge('bronzelift_service_utilization_ratio', labels).set(service.utilization);
+    metrics.gauge('bronzelift_sends_in_flight', labels).set(inFlight);
+    metrics.gauge('bronzelift_searches', { ...labels, state: 'running' }).set(pending);
+    metrics.gauge('bronzelift_searches', { ...labels, state: 'waiting' }).set(size);
+    metrics.gauge('bronzelift_retries_available', labels).set(service.retries.available);
+  }
+}
