Refuse at once when no instance has answered lately

Nobody states a load any more, so that the last utilization (0.28) let requests go to instances by reports of 1.4 s before: connects of 200 ms each, up to four for a request. 402 refusals of that time came after 580 and 706 ms in the middle, 928 ms at most; some orders ended with 502 unsent. Ruled out: the search itself (25 ms of hold) and the order of requests. Change: an instance that has answered nothing for a second gets no request without the answer to a probe; one request of a service and second is sent all the same, since a health path may be silent by itself.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -64,6 +64,15 @@
 /** Without a probe within this time an instance could have turned cold unseen. */
 export const COLD_CHECK_MS = 800;
 
+/**
+ * An instance that has answered nothing for this time gets no request without the answer to a probe.
+ * Searches probe each instance several times a second while there are requests.
+ */
+export const MAX_SILENT_MS = 1_000;
+
+/** Time between two requests of a service that are sent although no instance answers probes. */
+export const SILENT_TRIAL_MS = 1_000;
+
 /** Wait between two searches for a free slot. */
 export const SEARCH_PAUSE_MS = 8;
 
--- a/packages/gatewayDaemon/src/instanceFinder.ts
+++ b/packages/gatewayDaemon/src/instanceFinder.ts
@@ -7,6 +7,7 @@
   COLD_CHECK_MS,
   FRESH_REPORT_MS,
   GOOD_SLOWDOWN,
+  MAX_SILENT_MS,
   MIN_FREE_SLOTS,
   PROBE_SETTLE_MS,
   PROBE_TIMEOUT_MS,
@@ -57,7 +58,7 @@
   readonly reportAgeMs: number;
   readonly slowdown: number;
   readonly freeSlots: number;
-  readonly reason: 'fresh-report' | 'probed' | 'estimate' | 'slow';
+  readonly reason: 'fresh-report' | 'probed' | 'estimate' | 'slow' | 'silent-trial';
 }
 
 /** Instances whose probe answers a search waited for. */
@@ -117,11 +118,20 @@
     const usable = this.usableInstances(search);
     if (usable.length === 0) return 'no-instance';
     const leftMs = search.deadlineAtMs - this.now();
-    const slow = this.rank(search, usable).find(
+    const inTime = this.rank(search, usable).filter(
       ({ freeSlots, finishMs }) => freeSlots >= MIN_FREE_SLOTS && finishMs < leftMs,
     );
-    if (slow === undefined || !search.acceptsSlow) return 'overloaded';
-    return this.reserve(search, slow, 'slow');
+    const slow = inTime.find(({ candidate }) => {
+      const instance = search.service.find(candidate.instanceId);
+      return instance !== undefined && instance.silentMs <= MAX_SILENT_MS;
+    });
+    if (slow !== undefined && search.acceptsSlow) return this.reserve(search, slow, 'slow');
+    // Without any answer only a few requests try: a health path may be silent by itself.
+    const [untried] = inTime;
+    if (slow !== undefined || untried === undefined || !search.service.takeSilentTrial()) {
+      return 'overloaded';
+    }
+    return this.reserve(search, untried, 'silent-trial');
   }
 
   /** Instances that may receive the request at all. */
--- a/packages/gatewayDaemon/src/instanceRuntime.ts
+++ b/packages/gatewayDaemon/src/instanceRuntime.ts
@@ -41,6 +41,8 @@
 
   private lastHealthAtMs = -Infinity;
 
+  private lastAnswerAtMs = -Infinity;
+
   private hasOtherProcess = false;
 
   private failureShare = 0;
@@ -132,6 +134,11 @@
     return this.now() - this.lastHealthAtMs;
   }
 
+  /** Time since the instance last answered anything; Infinity before its first answer. */
+  get silentMs(): number {
+    return this.now() - this.lastAnswerAtMs;
+  }
+
   /** Share of failures among the latest requests; fades with time, so that it is tried again. */
   get recentFailureShare(): number {
     const ageMs = this.now() - this.failureShareAtMs;
@@ -178,6 +185,7 @@
     }
     const attempt = await this.pool.send(request, acquired.connection, signal);
     if (attempt.kind === 'answered' || attempt.kind === 'refused') {
+      this.lastAnswerAtMs = this.now();
       this.noteLoad(attempt.response.load);
     }
     return attempt;
--- a/packages/gatewayDaemon/src/serviceRuntime.ts
+++ b/packages/gatewayDaemon/src/serviceRuntime.ts
@@ -20,6 +20,7 @@
   MIN_WAITED_BEFORE_MS,
   RETRY_RATIO_SHARE,
   RETRY_SLACK_SHARE,
+  SILENT_TRIAL_MS,
   UTILIZATION_WEIGHT,
   WORK_WEIGHT,
 } from './constants.js';
@@ -66,6 +67,8 @@
 
   private currentUtilization = 0;
 
+  private silentTrialAtMs = -Infinity;
+
   private hasLoadReports = false;
 
   private currentTopPriority = 0;
@@ -183,6 +186,14 @@
     return { ratePerS, sharers };
   }
 
+  /** Whether a request may be sent although no instance answers; once in SILENT_TRIAL_MS. */
+  takeSilentTrial(): boolean {
+    const nowMs = this.options.clock.monotonicMs();
+    if (nowMs - this.silentTrialAtMs < SILENT_TRIAL_MS) return false;
+    this.silentTrialAtMs = nowMs;
+    return true;
+  }
+
   /** Takes a probe from this entry VM's share of what the instances bear; false when it is spent. */
   tryProbe(): boolean {
     const { bounds, countSharers } = this.options;
