--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -65,8 +65,8 @@
 export const COLD_CHECK_MS = 800;
 
 /**
- * An instance that has answered nothing for this time gets no request without the answer to a probe.
- * Searches probe each instance several times a second while there are requests.
+ * While no instance has answered anything for this time, no request is sent without the answer to a
+ * probe. Searches probe several instances a second while there are requests.
  */
 export const MAX_SILENT_MS = 1_000;
 
--- a/packages/gatewayDaemon/src/instanceFinder.ts
+++ b/packages/gatewayDaemon/src/instanceFinder.ts
@@ -121,17 +121,14 @@
     const inTime = this.rank(search, usable).filter(
       ({ freeSlots, finishMs }) => freeSlots >= MIN_FREE_SLOTS && finishMs < leftMs,
     );
-    const slow = inTime.find(({ candidate }) => {
-      const instance = search.service.find(candidate.instanceId);
-      return instance !== undefined && instance.silentMs <= MAX_SILENT_MS;
-    });
-    if (slow !== undefined && search.acceptsSlow) return this.reserve(search, slow, 'slow');
-    // Without any answer only a few requests try: a health path may be silent by itself.
-    const [untried] = inTime;
-    if (slow !== undefined || untried === undefined || !search.service.takeSilentTrial()) {
-      return 'overloaded';
+    const [best] = inTime;
+    if (best === undefined) return 'overloaded';
+    if (usable.some(({ silentMs }) => silentMs <= MAX_SILENT_MS)) {
+      return search.acceptsSlow ? this.reserve(search, best, 'slow') : 'overloaded';
     }
-    return this.reserve(search, untried, 'silent-trial');
+    // Without any answer only a few requests try: a health path may be silent by itself.
+    if (!search.service.takeSilentTrial()) return 'overloaded';
+    return this.reserve(search, best, 'silent-trial');
   }
 
   /** Instances that may receive the request at all. */
