--- /dev/null
+++ b/apps/experiment/src/experimentCommand.ts
@@ -0,0 +1,72 @@
+import { Command, Option } from 'clipanion';
+
+import { DEFAULT_SHAPE, Emulator, LOADS, POLICIES } from '@bronzelift/placement-emulator';
+import type { RunResult } from '@bronzelift/placement-emulator';
+
+import { formatMarkdownTable, summarizeRuns } from './utils.js';
+
+const EXIT_CODE_BAD_OPTIONS = 2;
+const MAX_SEEDS = 1_000;
+
+const COLUMNS: readonly (keyof RunResult)[] = [
+  'inTimeShare',
+  'lateShare',
+  'refusedShare',
+  'failedShare',
+  'worstCredit',
+  'p50Ms',
+  'p99Ms',
+  'probesPerRequest',
+];
+
+/** Plays loads with placement policies on emulated instances and prints a table. */
+export class ExperimentCommand extends Command {
+  static override paths = [Command.Default];
+
+  static override usage = Command.Usage({
+    description: 'Compares placement policies on emulated instances.',
+    details: `Prints mean and standard deviation over the seeds. Loads: ${LOADS.map(({ name }) => name).join(', ')}. Policies: ${POLICIES.map(({ name }) => name).join(', ')}. Exits with 2 for wrong options.`,
+  });
+
+  load = Option.String('--load', { description: 'loads, joined by commas; default all' });
+
+  policy = Option.String('--policy', { description: 'policies, joined by commas; default all' });
+
+  seeds = Option.String('--seeds', '5', { description: 'runs of each cell, with seeds from 1' });
+
+  override async execute(): Promise<number> {
+    const loads = this.select('--load', this.load, LOADS);
+    const policies = this.select('--policy', this.policy, POLICIES);
+    const seedCount = Number(this.seeds);
+    const isCount = Number.isInteger(seedCount) && seedCount > 0 && seedCount <= MAX_SEEDS;
+    if (!isCount) this.complain('--seeds', `a number from 1 to ${MAX_SEEDS}`, this.seeds);
+    if (loads === undefined || policies === undefined || !isCount) return EXIT_CODE_BAD_OPTIONS;
+    const rows = loads.flatMap((load) =>
+      policies.map((policy) => {
+        const runs = Array.from({ length: seedCount }, (_, index) =>
+          Emulator.run(DEFAULT_SHAPE, load, policy, index + 1),
+        );
+        return [load.name, policy.name, ...summarizeRuns(runs, COLUMNS)];
+      }),
+    );
+    this.context.stdout.write(formatMarkdownTable(['load', 'policy', ...COLUMNS], rows));
+    return 0;
+  }
+
+  private select<T extends { readonly name: string }>(
+    option: string,
+    value: string | undefined,
+    all: readonly T[],
+  ): readonly T[] | undefined {
+    if (value === undefined) return all;
+    const names = value.split(',');
+    const found = names.flatMap((name) => all.find((entry) => entry.name === name) ?? []);
+    if (found.length === names.length) return found;
+    this.complain(option, `some of ${all.map(({ name }) => name).join(', ')}`, value);
+    return undefined;
+  }
+
+  private complain(option: string, expected: string, found: string): void {
+    this.context.stderr.write(`${option}: expected ${expected}, found ${found}\n`);
+  }
+}
--- /dev/null
+++ b/apps/experiment/src/utils.ts
@@ -0,0 +1,22 @@
+/** Mean and standard deviation of some fields over runs, as text. */
+export const summarizeRuns = <K extends string>(
+  runs: readonly Readonly<Record<K, number>>[],
+  fields: readonly K[],
+): string[] =>
+  fields.map((field) => {
+    const values = runs.map((run) => run[field]);
+    const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
+    const squares = values.reduce((sum, value) => sum + (value - mean) ** 2, 0);
+    const deviation = Math.sqrt(squares / values.length);
+    const digits = field.endsWith('Ms') ? 0 : 3;
+    return `${mean.toFixed(digits)} ± ${deviation.toFixed(digits)}`;
+  });
+
+/** A table in Markdown. */
+export const formatMarkdownTable = (
+  head: readonly string[],
+  rows: readonly (readonly string[])[],
+): string => {
+  const lines = [head, head.map(() => '---'), ...rows].map((cells) => `| ${cells.join(' | ')} |`);
+  return `${lines.join('\n')}\n`;
+};
