--- a/packages/gatewayDaemon/src/frontServer.ts
+++ b/packages/gatewayDaemon/src/frontServer.ts
@@ -123,6 +123,7 @@
   private trackCaller(socket: Socket, response: ServerResponse): AbortController {
     const caller = new AbortController();
     this.inFlightCount += 1;
+    // The end of a connection calls both listeners.
     let isOver = false;
     const end = (): void => {
       if (isOver) return;
--- a/packages/gatewayDaemon/src/stateGauges.ts
+++ b/packages/gatewayDaemon/src/stateGauges.ts
@@ -21,7 +21,7 @@
   readonly countInFlight: () => number;
 }
 
-/** Gauges of the state of an entry VM. They are set when metrics are read, so that they cost nothing else. */
+/** Gauges of the state of an entry VM; they are set only when metrics are read. */
 export class StateGauges {
   private configurationAtMs: number | undefined;
 
