Keep the probes of calm seconds for a flood

Change: a share that was not used is kept for a minute, a start has that of two seconds, and a choice by estimate leaves out instances that have not answered for a second.

--- a/packages/gatewayDaemon/src/instanceFinder.ts
+++ b/packages/gatewayDaemon/src/instanceFinder.ts
@@ -109,7 +109,10 @@
 
   /** The choice without fresh knowledge, when this VM has spent its share of the probes. */
   private bestEstimate(search: InstanceSearch): PlacementEstimate | undefined {
-    const ranked = this.rank(search, this.usableInstances(search));
+    const answering = this.usableInstances(search).filter(
+      ({ silentMs }) => silentMs <= MAX_SILENT_MS,
+    );
+    const ranked = this.rank(search, answering);
     return ranked.find((estimate) => this.isGood(search, estimate));
   }
 
--- a/packages/gatewayDaemon/tests/serviceRuntime.test.ts
+++ b/packages/gatewayDaemon/tests/serviceRuntime.test.ts
@@ -75,4 +75,24 @@
       expect(granted / seconds).to.be.within(30, 60);
     }
   });
+
+  // Guards against floods without probes: requests then go to slow and dead instances.
+  it('keeps the probes that calm seconds left over for a flood', () => {
+    const clock = ManualClock.create();
+    const service = createService(1, clock);
+    service.setInstance(createRecord('i-1'));
+    const probe = (seconds: number, perS: number): number => {
+      let granted = 0;
+      for (let step = 0; step < seconds * perS; step += 1) {
+        clock.advance(1_000 / perS);
+        granted += Number(service.tryProbe());
+      }
+      return granted;
+    };
+    const calm = probe(20, 10);
+    const flood = probe(5, 120);
+    expect(calm).to.equal(200);
+    expect(flood).to.equal(600);
+    expect((calm + flood) / 25).to.be.below(60);
+  });
 });
--- a/packages/slots/src/constants.ts
+++ b/packages/slots/src/constants.ts
@@ -45,17 +45,20 @@
   usedShare: 0.9,
   minBurst: 1,
   keptMs: 0,
+  headStartMs: 0,
   minSharers: 4,
 };
 
 /**
- * Division of the probes that the instances of a service bear: a fifth is kept back for bursts and
- * members not yet known. The least burst is one search; a second's share covers uneven arrivals.
+ * Division of the probes that the instances of a service bear over a day: a fifth is kept back for
+ * members not yet known and for starts. The least burst is one search. What a calm minute leaves is
+ * kept for a flood, when dead and slow instances have to be told from others.
  */
 export const PROBE_RATE_DIVISION: RateDivision = {
   usedShare: 0.8,
   minBurst: 3,
-  keptMs: 1_000,
+  keptMs: 60_000,
+  headStartMs: 2_000,
   minSharers: 1,
 };
 
--- a/packages/slots/src/sharedRateLimit.ts
+++ b/packages/slots/src/sharedRateLimit.ts
@@ -10,6 +10,8 @@
   readonly minBurst: number;
   /** Time for which a share that was not used is kept. */
   readonly keptMs: number;
+  /** Time whose share is available at the start. */
+  readonly headStartMs: number;
   /** Entry VMs assumed to share the rate while fewer are known, as after a start. */
   readonly minSharers: number;
 }
@@ -37,10 +39,10 @@
     private readonly division: RateDivision,
   ) {
     this.tokens = division.minBurst;
-    this.filledAtMs = clock.monotonicMs();
+    this.filledAtMs = clock.monotonicMs() - division.headStartMs;
   }
 
-  /** Creates a limit whose least burst is available at once. */
+  /** Creates a limit whose least burst and head start are available at once. */
   static create(clock: Clock, division: RateDivision): SharedRateLimit {
     return new SharedRateLimit(clock, division);
   }
