--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -92,8 +92,8 @@
 export const RETRY_AFTER_TIME_SHARE = 0.33;
 
 /**
- * Least retry-after while the process knows no configuration: a start has its state from peers or
- * the store within 50 to 80 ms, and callers return once only. Returns spread over twice this time.
+ * Least retry-after while the process knows no configuration: peers or the store are asked within
+ * 25 ms of a start, and callers return once only. Returns spread up to twice this time.
  */
 export const RETRY_AFTER_WITHOUT_STATE_MS = 100;
 
