Show limits on requests that instances state in logs and metrics

Nothing in the logs said that an instance had stated a limit, or what was sent to it afterwards, so that 'nobody reads the limit' and 'each entry VM keeps the whole limit for itself' could be told apart by reading the code only.

What is sent does not change.

--- a/packages/backendClient/src/types.ts
+++ b/packages/backendClient/src/types.ts
@@ -77,6 +77,8 @@
   readonly slowdown?: number | undefined;
   /** Time until a cold instance is warm; 0 if it reported that it is warm. */
   readonly coldForMs?: number | undefined;
+  /** Requests per second that the instance accepts from all entry VMs together, if it limits them. */
+  readonly maxRequestsPerS?: number | undefined;
 }
 
 /** A complete response of a backend server, with the load that it reported. */
--- a/packages/gatewayDaemon/src/instanceRuntime.ts
+++ b/packages/gatewayDaemon/src/instanceRuntime.ts
@@ -29,6 +29,8 @@
   /** Limits the bytes of responses that the process buffers. */
   readonly bufferBudget: BufferBudget;
   readonly onViolation: (name: 'whole-answer', detail: string) => void;
+  /** Called when the instance begins, changes or ends a limit on its requests. */
+  readonly onLimitChange: (instance: InstanceRuntime) => void;
 }
 
 /**
@@ -55,6 +57,8 @@
 
   private isAddressTaken = false;
 
+  private currentMaxRequestsPerS: number | undefined;
+
   private failureShare = 0;
 
   private failureShareAtMs: number;
@@ -101,6 +105,11 @@
     return this.currentReport;
   }
 
+  /** Limit on the requests from all entry VMs that the instance stated last; undefined for none. */
+  get maxRequestsPerS(): number | undefined {
+    return this.currentMaxRequestsPerS;
+  }
+
   /**
    * Whether a registration is of the same process at the same address, so that open connections
    * stay valid.
@@ -208,6 +217,7 @@
     if (attempt.kind === 'answered' || attempt.kind === 'refused') {
       this.lastResponseAtMs = this.now();
       this.recordLoad(attempt.response.load);
+      this.recordLimit(attempt.response.load.maxRequestsPerS);
     }
     return attempt;
   }
@@ -252,6 +262,12 @@
     };
   }
 
+  private recordLimit(maxRequestsPerS: number | undefined): void {
+    if (maxRequestsPerS === this.currentMaxRequestsPerS) return;
+    this.currentMaxRequestsPerS = maxRequestsPerS;
+    this.options.onLimitChange(this);
+  }
+
   private setColdTime(coldForMs: number): void {
     const nowMs = this.now();
     const wasCold = nowMs < this.coldUntilMs;
--- a/packages/gatewayDaemon/src/prober.ts
+++ b/packages/gatewayDaemon/src/prober.ts
@@ -55,6 +55,11 @@
   private async run(service: ServiceRuntime, instance: InstanceRuntime): Promise<ProbeResult> {
     const { clock, metrics } = this.options;
     metrics.counter('bronzelift_probes_total', { service: service.name }).increment();
+    if (instance.maxRequestsPerS !== undefined) {
+      metrics
+        .counter('bronzelift_limited_arrivals_total', { service: service.name, kind: 'probe' })
+        .increment();
+    }
     const isTrial = service.selector.isTrialDue(instance.id);
     const handle = service.selector.begin({ instanceId: instance.id, isTrial });
     const attempt = await instance.send(
--- a/packages/gatewayDaemon/src/requestHandler.ts
+++ b/packages/gatewayDaemon/src/requestHandler.ts
@@ -170,6 +170,11 @@
     const isTrial = service.selector.isTrialDue(instance.id);
     const handle = service.selector.begin({ instanceId: instance.id, isTrial });
     this.requestLog.sent(context, found, this.now());
+    if (instance.maxRequestsPerS !== undefined) {
+      this.options.metrics
+        .counter('bronzelift_limited_arrivals_total', { service: service.name, kind: 'request' })
+        .increment();
+    }
     const attempt = await instance.send(
       this.toBackendRequest(context, instance.id),
       route.isIdempotent,
--- a/packages/gatewayDaemon/src/requestLog.ts
+++ b/packages/gatewayDaemon/src/requestLog.ts
@@ -36,6 +36,7 @@
       freeSlots: found.freeSlots,
       expectedMs: Math.round(found.expectedMs),
       cold: instance.isCold || undefined,
+      maxRequestsPerS: instance.maxRequestsPerS,
       leftMs: Math.round(deadlineAtMs - nowMs),
       version: this.configurationVersion(),
     });
--- a/packages/gatewayDaemon/src/serviceRuntime.ts
+++ b/packages/gatewayDaemon/src/serviceRuntime.ts
@@ -167,6 +167,7 @@
       bufferBudget,
       maxConnections: this.calculateConnectionShare(),
       onViolation,
+      onLimitChange: (instance) => this.logLimit(instance),
     });
     this.instancesById.set(record.id, runtime);
     this.updateSelector();
@@ -282,6 +283,14 @@
     return Math.max(Math.floor(share), 1);
   }
 
+  private logLimit({ id, maxRequestsPerS }: InstanceRuntime): void {
+    this.options.log.info(LogComponent.backend, 'instance limits its requests', {
+      service: this.name,
+      instance: id,
+      maxRequestsPerS: maxRequestsPerS ?? 'none',
+    });
+  }
+
   private logEjection({ instanceId, change, reason, intervalMs }: EjectionChange): void {
     const { log, metrics } = this.options;
     log.info(LogComponent.route, `instance ${change}`, {
--- a/packages/gatewayDaemon/src/stateGauges.ts
+++ b/packages/gatewayDaemon/src/stateGauges.ts
@@ -88,6 +88,7 @@
       registered: instances.length,
       draining: count(({ record }) => record.isDraining),
       cold: count(({ isCold }) => isCold),
+      limited: count(({ maxRequestsPerS }) => maxRequestsPerS !== undefined),
       ejected: count(({ id }) => !service.selector.isUsable(id)),
     };
     for (const [condition, value] of Object.entries(counts)) {
