Show in the log that the store was restored from a copy

Two of the hypotheses, offsets taken for versions and a hanging watch, could not be told apart by the log, which shows neither the era of the store nor the offsets of a read.

What is read and applied does not change.

--- a/packages/gatewayDaemon/src/storeReader.ts
+++ b/packages/gatewayDaemon/src/storeReader.ts
@@ -49,6 +49,8 @@
 
   private operatorWatch = new AbortController();
 
+  private storeEra: number | undefined;
+
   /** Streams whose latest read failed. */
   private readonly failing = new Set<StreamName>();
 
@@ -121,6 +123,7 @@
     const { store, state } = this.options;
     const offset = state.nextInstanceOffset;
     const read = offset === undefined ? undefined : await store.readInstances(offset);
+    if (read !== undefined) this.recordEra('registrations', offset, read);
     if (read?.kind === 'page') {
       const renewableUntilMs = this.recordInstanceRead();
       this.options.onInstancesRead(state.applyInstanceChanges(read, renewableUntilMs));
@@ -136,6 +139,7 @@
     const offset = state.nextOperatorOffset;
     const formerRevision = state.revision;
     const read = offset === undefined ? undefined : await this.watchFrom(offset);
+    if (read !== undefined) this.recordEra('operators', offset, read);
     if (read?.kind === 'page') state.applyOperatorChanges(read);
     else state.replaceOperatorState(await store.readNewestOperatorRecords());
     if (state.revision !== formerRevision) this.options.onOperatorChange();
@@ -163,6 +167,26 @@
     return this.options.outages.renewableUntilMs(nowMs);
   }
 
+  /** Logs that the store was restored from a copy; its offsets are lower than before. */
+  private recordEra(
+    stream: StreamName,
+    offset: number | undefined,
+    read: StreamRead<unknown>,
+  ): void {
+    const { storeEra } = read;
+    const formerEra = this.storeEra;
+    this.storeEra = storeEra;
+    if (storeEra === (formerEra ?? storeEra)) return;
+    this.options.log.warn(LogComponent.log, 'store restored from a copy', {
+      stream,
+      formerEra,
+      storeEra,
+      requestedOffset: offset,
+      outcome: read.kind,
+      nextOffset: read.kind === 'page' ? read.nextOffset : undefined,
+    });
+  }
+
   private handleSuccess(stream: StreamName): void {
     if (this.failing.delete(stream)) {
       this.options.log.info(LogComponent.log, 'store reachable again', { stream });
--- a/packages/gatewayDaemon/src/types.ts
+++ b/packages/gatewayDaemon/src/types.ts
@@ -84,6 +84,8 @@
 
 /** Changes read from a stream, in the order of their offsets. */
 export interface StreamPage<Change> {
+  /** Number of times that the store was restored from a copy. */
+  readonly storeEra: number;
   readonly changes: readonly Change[];
   /** Offset at which to continue reading. */
   readonly nextOffset: number;
@@ -95,7 +97,7 @@
   /**
    * The records at this offset have expired; the newest record of each key must be read instead.
    */
-  | { readonly kind: 'expired' };
+  | { readonly kind: 'expired'; readonly storeEra: number };
 
 /** Host under which an entry VM recorded itself in the store. */
 export interface MemberRecord {
--- a/packages/gatewayDaemon/tests/controlState.test.ts
+++ b/packages/gatewayDaemon/tests/controlState.test.ts
@@ -51,6 +51,7 @@
 
 /** Creates a page whose records end before `nextOffset`. */
 const createPage = (contents: readonly Content[], nextOffset: number) => ({
+  storeEra: 0,
   changes: contents.map((content, index) => content(nextOffset - contents.length + index)),
   nextOffset,
 });
@@ -169,6 +170,7 @@
     const { state, versions } = createState();
     const source = createState();
     const page = (version: number, nextOffset: number) => ({
+      storeEra: 0,
       changes: [{ kind: 'configuration' as const, configuration: createConfiguration(version) }],
       nextOffset,
     });
@@ -185,10 +187,10 @@
   // of an empty stream.
   it('counts the first record as newer than an empty stream', () => {
     const { state } = createState();
-    state.applyOperatorChanges({ changes: [], nextOffset: 0 });
+    state.applyOperatorChanges({ storeEra: 0, changes: [], nextOffset: 0 });
     const empty = state.revision;
     const change = { kind: 'configuration' as const, configuration: createConfiguration(1) };
-    state.applyOperatorChanges({ changes: [change], nextOffset: 1 });
+    state.applyOperatorChanges({ storeEra: 0, changes: [change], nextOffset: 1 });
     expect(state.revision).to.be.above(empty);
   });
 
