Order records across restores of the store from a copy

The members' hosts stayed lost.

Cause: offsets of the store were taken for versions. Pages that end below the known offset were ignored as old, and each of them was followed by a read of the whole state without a pause.

Change: a position combines the store's era with the offset, and a read from another era is answered by reading the newest records. Nothing in them goes back: a configuration needs a higher version, a registration a later start or sequence, and one that was seen removed does not return with the same sequence. Heartbeats carry the version of the configuration, so that a member that started after the copy fetches the newer one. Readers record the hosts of live members that the store has lost. Messages to earlier builds keep their form.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -369,8 +369,11 @@
 /** Time for which a removed registration is remembered, so that older records of it are ignored. */
 export const TOMBSTONE_LIFETIME_MS = 600_000;
 
-/** Store offset of a record or a removal that does not exist. */
-export const NO_OFFSET = -1;
+/** Version of the configuration of an entry VM that has none. */
+export const NO_VERSION = -1;
+
+/** Store position of a record or a removal that does not exist. */
+export const NO_POSITION = -1;
 
 /**
  * A shift of the time at which an instance becomes warm is sent to other entry VMs if it exceeds
--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -60,6 +60,9 @@
 
   private readonly stopped = new AbortController();
 
+  /** Aborted to search the store for members at once. */
+  private memberSearchPause = new AbortController();
+
   private isFetching = false;
 
   /** Monotonic time since which a member has had changes that this entry VM has missed. */
@@ -77,12 +80,15 @@
       sendBytesPerInterval:
         settings.linkMbps * CHANGES_LINK_SHARE * BYTES_PER_MBIT_MS * SEND_INTERVAL_MS,
       onMessage: (message, fromHost) => this.handleMessage(message, fromHost),
-      createState: ({ operatorRevision, instanceOffset }) => ({
-        operator: state.revision > operatorRevision ? state.createOperatorSnapshot() : undefined,
+      createState: ({ operatorRevision, configurationVersion, instancePosition }) => ({
+        operator:
+          state.revision > operatorRevision || state.configurationVersion > configurationVersion
+            ? state.createOperatorSnapshot()
+            : undefined,
         instances:
-          instanceOffset === undefined
+          instancePosition === undefined
             ? state.createInstanceSnapshot()
-            : state.listInstanceChangesSince(instanceOffset),
+            : state.listInstanceChangesSince(instancePosition),
       }),
     });
     this.reader = StoreReader.create({
@@ -98,6 +104,7 @@
       isAnyStoreFailing: () => members.isAnyStoreFailing(),
       onInstancesRead: (changes) => this.publishChanges(changes),
       onOperatorChange: () => this.sendHeartbeat(),
+      onRestored: () => this.memberSearchPause.abort(),
     });
   }
 
@@ -195,7 +202,7 @@
     if (entries.length === 0) return;
     this.options.metrics.counter('bronzelift_registration_changes_sent_total').increment();
     this.options.log.info(LogComponent.log, 'changes of registrations sent', {
-      instanceOffset: this.options.state.nextInstanceOffset,
+      instanceOffset: this.options.state.nextInstancePosition,
       entries: entries.length,
       datagrams: datagrams.length,
       members: hosts.length,
@@ -208,7 +215,7 @@
     while (!signal.aborted) {
       this.sendHeartbeat();
       this.sendLimits(this.options.limits.takeDue());
-      state.removeExpiredInstances();
+      state.removeExpired();
       for (const { status } of members.removeLost()) {
         log.info(LogComponent.member, 'member forgotten', { member: status.vmId });
       }
@@ -224,23 +231,40 @@
     const { settings, store, log, members } = this.options;
     let isAnnounced = false;
     while (!signal.aborted) {
+      this.memberSearchPause = new AbortController();
       try {
         if (!isAnnounced) {
-          await store.recordMember({ vmId: settings.vmId, host: settings.host });
+          await store.recordMembers([{ vmId: settings.vmId, host: settings.host }]);
           isAnnounced = true;
         }
-        if (this.isReader || members.live().length === 0) {
-          const found = await store.readMembers();
-          const hosts = found.map(({ host }) => host).filter((host) => host !== settings.host);
-          this.network.send(hosts, this.createHeartbeat());
-        }
+        if (this.isReader || members.live().length === 0) await this.searchMembers();
       } catch (error) {
         log.warn(LogComponent.member, 'member search failed', { error: describeError(error) });
       }
-      await sleep(isAnnounced ? MEMBER_SEARCH_INTERVAL_MS : HEARTBEAT_INTERVAL_MS, signal);
+      const pause = AbortSignal.any([signal, this.memberSearchPause.signal]);
+      await sleep(isAnnounced ? MEMBER_SEARCH_INTERVAL_MS : HEARTBEAT_INTERVAL_MS, pause);
     }
   }
 
+  /** Greets the members in the store, and records there those that a restored store has lost. */
+  private async searchMembers(): Promise<void> {
+    const { settings, store, log, members } = this.options;
+    const found = await store.readMembers();
+    const hosts = found.map(({ host }) => host).filter((host) => host !== settings.host);
+    this.network.send(hosts, this.createHeartbeat());
+    const hostOfMember = new Map(found.map(({ vmId, host }) => [vmId, host]));
+    const known = members.live().map(({ status, host }) => ({ vmId: status.vmId, host }));
+    const missing = [{ vmId: settings.vmId, host: settings.host }, ...known].filter(
+      ({ vmId, host }) => hostOfMember.get(vmId) !== host,
+    );
+    if (missing.length === 0) return;
+    await store.recordMembers(missing);
+    log.info(LogComponent.member, 'missing members recorded in the store', {
+      members: missing.length,
+      first: missing[0]!.vmId,
+    });
+  }
+
   private handleMessage(message: PeerMessage, fromHost: string): void {
     switch (message.kind) {
       case 'heartbeat':
@@ -283,7 +307,7 @@
       }
       this.sendLimits(this.options.limits.listObservedLimits(), [fromHost]);
     }
-    state.advanceInstanceOffset(status.instanceOffset, status.instanceDigest);
+    state.advanceInstancePosition(status.instancePosition, status.instanceDigest);
     if (!this.isBehind(status)) return;
     this.behindSinceMs ??= this.options.clock.monotonicMs();
     this.catchUp();
@@ -301,8 +325,9 @@
   private isBehind(status: MemberStatus): boolean {
     const { state } = this.options;
     if (status.operatorRevision > state.revision) return true;
-    const ownOffset = state.nextInstanceOffset ?? -1;
-    return status.instanceOffset > ownOffset && status.instanceDigest !== state.digest;
+    if (status.configurationVersion > state.configurationVersion) return true;
+    const ownOffset = state.nextInstancePosition ?? -1;
+    return status.instancePosition > ownOffset && status.instanceDigest !== state.digest;
   }
 
   private listMembersAhead(): Member[] {
@@ -357,20 +382,21 @@
       return Math.round(tookMs);
     };
     try {
-      const instanceOffset = isWhole ? undefined : state.nextInstanceOffset;
+      const instancePosition = isWhole ? undefined : state.nextInstancePosition;
       const { operator, instances } = await this.network.fetchState(host, {
         operatorRevision: state.revision,
-        instanceOffset,
+        configurationVersion: state.configurationVersion,
+        instancePosition,
       });
       if (operator !== undefined) state.adoptOperatorSnapshot(operator);
       if (instances !== undefined) {
-        if (instanceOffset === undefined) state.mergeInstanceSnapshot(instances);
+        if (instancePosition === undefined) state.mergeInstanceSnapshot(instances);
         else state.mergeInstanceChangesSince(instances);
       }
       log.info(LogComponent.log, 'state taken from peer', {
         peer: status.vmId,
         revision: state.revision,
-        instanceOffset: state.nextInstanceOffset,
+        instanceOffset: state.nextInstancePosition,
         tookMs: finish('fetched'),
       });
     } catch (error) {
--- a/packages/gatewayDaemon/src/controlState.ts
+++ b/packages/gatewayDaemon/src/controlState.ts
@@ -1,9 +1,13 @@
 import { assertNever } from '@bronzelift/common';
 import type { Clock, FailureDomainId, InstanceId } from '@bronzelift/common';
 
+import { NO_VERSION, REGISTRATION_RENEWAL_GRACE_MS } from './constants.js';
+import { DomainsOut } from './domainsOut.js';
+import type { DomainsOutSnapshot } from './domainsOut.js';
 import { InstanceRegistry } from './instanceRegistry.js';
 import type { RegistrationEntry, RegistrySnapshot, RegistryUpdate } from './instanceRegistry.js';
 import { RouteTable } from './routeTable.js';
+import { createPosition, getEra } from './storePosition.js';
 import type {
   GatewayConfiguration,
   InstanceChange,
@@ -15,15 +19,15 @@
 /**
  * The configuration, and the failure domains that are out of service, as entry VMs exchange them.
  */
-export interface OperatorSnapshot {
+export interface OperatorSnapshot extends DomainsOutSnapshot {
   /**
-   * The next offset after the last record that changed something, plus 1; a snapshot with a higher
+   * The position after the last record that changed something, plus 1; a snapshot with a higher
    * revision is newer.
    */
   readonly revision: number;
+  /** Store position at which to continue reading. */
   readonly nextOffset: number;
   readonly configuration: GatewayConfiguration | undefined;
-  readonly domainsOut: readonly FailureDomainId[];
 }
 
 /** Where a change of the registrations came from. */
@@ -55,16 +59,17 @@
 
   private operatorRevision = 0;
 
-  private operatorOffset = 0;
+  private operatorPosition = 0;
 
-  private domainsOut = new Set<FailureDomainId>();
+  private readonly domainsOut: DomainsOut;
 
   private readonly registry: InstanceRegistry;
 
   private constructor(
-    clock: Clock,
+    private readonly clock: Clock,
     private readonly listener: ControlStateListener,
   ) {
+    this.domainsOut = DomainsOut.create(clock);
     this.registry = InstanceRegistry.create(clock);
   }
 
@@ -83,21 +88,26 @@
 
   /** Whether a configuration and a first read of the registrations have been applied. */
   get isComplete(): boolean {
-    return this.currentConfiguration !== undefined && this.registry.nextOffset !== undefined;
+    return this.currentConfiguration !== undefined && this.registry.nextPosition !== undefined;
+  }
+
+  /** Version of the configuration; NO_VERSION without one. */
+  get configurationVersion(): number {
+    return this.currentConfiguration?.version ?? NO_VERSION;
   }
 
   get revision(): number {
     return this.operatorRevision;
   }
 
-  /** Offset at which to continue reading the operators' stream; undefined before the first read. */
-  get nextOperatorOffset(): number | undefined {
-    return this.operatorRevision === 0 ? undefined : this.operatorOffset;
+  /** Position at which to continue reading the operators' stream; undefined before the first read. */
+  get nextOperatorPosition(): number | undefined {
+    return this.operatorRevision === 0 ? undefined : this.operatorPosition;
   }
 
-  /** Offset at which to continue reading the registrations; undefined before the first read. */
-  get nextInstanceOffset(): number | undefined {
-    return this.registry.nextOffset;
+  /** Position at which to continue reading the registrations; undefined before the first read. */
+  get nextInstancePosition(): number | undefined {
+    return this.registry.nextPosition;
   }
 
   /** Digest of the registrations; entry VMs with equal digests have the same instances. */
@@ -110,10 +120,11 @@
   }
 
   /**
-   * Applies new records of the operators' stream; a page older than the applied offset is ignored.
+   * Applies new records of the operators' stream; a page before the applied position is ignored.
    */
   applyOperatorChanges(page: StreamPage<OperatorChange>): void {
-    if (page.nextOffset < this.operatorOffset) return;
+    const nextPosition = createPosition(page.storeEra, page.nextOffset);
+    if (nextPosition < this.operatorPosition) return;
     let hasDomainChange = false;
     for (const change of page.changes) {
       switch (change.kind) {
@@ -121,11 +132,8 @@
           this.setConfiguration(change.configuration);
           break;
         case 'domain-out':
-          this.domainsOut.add(change.failureDomainId);
-          hasDomainChange = true;
-          break;
         case 'domain-in':
-          this.domainsOut.delete(change.failureDomainId);
+          this.domainsOut.set(change.failureDomainId, change.kind === 'domain-out');
           hasDomainChange = true;
           break;
         case 'unreadable':
@@ -135,20 +143,34 @@
           assertNever(change);
       }
     }
-    this.operatorOffset = page.nextOffset;
-    if (page.changes.length > 0 || this.operatorRevision === 0) {
-      // An empty stream that was read has revision 1, to distinguish it from an unread one.
-      this.operatorRevision = page.nextOffset + 1;
-    }
-    if (hasDomainChange) this.listener.onDomains([...this.domainsOut]);
+    this.advanceOperatorPosition(nextPosition, page.changes.length > 0);
+    if (hasDomainChange) this.listener.onDomains(this.domainsOut.list());
   }
 
-  /** Replaces the operators' state by the newest record of each key, after records have expired. */
+  /**
+   * Replaces the operators' state by the newest record of each key, after records have expired. A
+   * store that was restored from a copy may hold older records than the known ones until the
+   * operators have written these again.
+   */
   replaceOperatorState(page: StreamPage<OperatorChange>): void {
-    if (page.nextOffset < this.operatorOffset) return;
-    this.domainsOut = new Set();
+    const nextPosition = createPosition(page.storeEra, page.nextOffset);
+    if (nextPosition < this.operatorPosition) return;
+    const domainsOut = page.changes.flatMap((change) =>
+      change.kind === 'domain-out' ? change.failureDomainId : [],
+    );
+    if (this.operatorRevision > 0 && page.storeEra > getEra(this.operatorPosition)) {
+      const untilMs = this.clock.monotonicMs() + REGISTRATION_RENEWAL_GRACE_MS;
+      this.domainsOut.replaceLater(domainsOut, untilMs);
+      const isDomainChange = ({ kind }: OperatorChange): boolean =>
+        kind === 'domain-out' || kind === 'domain-in';
+      const others = page.changes.filter((change) => !isDomainChange(change));
+      this.applyOperatorChanges({ ...page, changes: others });
+      this.advanceOperatorPosition(nextPosition, true);
+      return;
+    }
+    this.domainsOut.replace(domainsOut);
     this.applyOperatorChanges(page);
-    this.listener.onDomains([...this.domainsOut]);
+    this.listener.onDomains(this.domainsOut.list());
   }
 
   /**
@@ -173,19 +195,23 @@
     return this.report('store', this.registry.replaceAll(page, renewableUntilMs));
   }
 
-  /** Ends the use of registrations that were not renewed in time after an outage. */
-  removeExpiredInstances(): void {
+  /**
+   * Ends the use of registrations that were not renewed in time after an outage, and takes over what
+   * a restored store says of failure domains.
+   */
+  removeExpired(): void {
     this.report('renewal-timeout', this.registry.removeExpired());
+    if (this.domainsOut.settle()) this.listener.onDomains(this.domainsOut.list());
   }
 
   /** Merges changed registrations of another entry VM. */
   mergeInstanceChanges(entries: readonly RegistrationEntry[]): void {
     // Without a first read, the registrations between these changes would be missing.
-    if (this.registry.nextOffset === undefined) return;
+    if (this.registry.nextPosition === undefined) return;
     this.report('peer-changes', this.registry.merge(entries));
   }
 
-  /** Merges the registrations that another entry VM lists as changed since this one's offset. */
+  /** Merges the registrations that another entry VM lists as changed since this one's position. */
   mergeInstanceChangesSince(changes: RegistrySnapshot): void {
     this.report('peer-state', this.registry.mergeChangesSince(changes));
   }
@@ -195,9 +221,9 @@
     this.report('peer-state', this.registry.mergeSnapshot(snapshot));
   }
 
-  /** Advances the offset when another entry VM has the same registrations at a later offset. */
-  advanceInstanceOffset(nextOffset: number, digest: number): void {
-    this.registry.advance(nextOffset, digest);
+  /** Advances the position when another entry VM has the same registrations at a later one. */
+  advanceInstancePosition(nextPosition: number, digest: number): void {
+    this.registry.advance(nextPosition, digest);
   }
 
   /** Lists all registrations for another entry VM; undefined before the first read. */
@@ -205,36 +231,46 @@
     return this.registry.createSnapshot();
   }
 
-  /** Lists the registrations that changed at `offset` or later; undefined before the first read. */
-  listInstanceChangesSince(offset: number): RegistrySnapshot | undefined {
-    return this.registry.listChangesSince(offset);
+  /** Lists the registrations that changed at `position` or later; undefined before the first read. */
+  listInstanceChangesSince(position: number): RegistrySnapshot | undefined {
+    return this.registry.listChangesSince(position);
   }
 
   /** Creates the operators' state to send to another entry VM. */
   createOperatorSnapshot(): OperatorSnapshot {
     return {
       revision: this.operatorRevision,
-      nextOffset: this.operatorOffset,
+      nextOffset: this.operatorPosition,
       configuration: this.currentConfiguration,
-      domainsOut: [...this.domainsOut],
+      ...this.domainsOut.createSnapshot(),
     };
   }
 
-  /** Replaces the operators' state by that of another entry VM if it is newer. */
+  /** Takes over the parts of another entry VM's operators' state that are newer. */
   adoptOperatorSnapshot(snapshot: OperatorSnapshot): boolean {
-    if (snapshot.revision <= this.operatorRevision) return false;
+    const hasSetConfiguration =
+      snapshot.configuration !== undefined && this.setConfiguration(snapshot.configuration);
+    if (snapshot.revision <= this.operatorRevision) return hasSetConfiguration;
     this.operatorRevision = snapshot.revision;
-    this.operatorOffset = Math.max(this.operatorOffset, snapshot.nextOffset);
-    this.domainsOut = new Set(snapshot.domainsOut);
-    if (snapshot.configuration !== undefined) this.setConfiguration(snapshot.configuration);
-    this.listener.onDomains(snapshot.domainsOut);
+    this.operatorPosition = Math.max(this.operatorPosition, snapshot.nextOffset);
+    this.domainsOut.adopt(snapshot);
+    this.listener.onDomains(this.domainsOut.list());
     return true;
   }
 
-  private setConfiguration(configuration: GatewayConfiguration): void {
+  private advanceOperatorPosition(nextPosition: number, hasChanges: boolean): void {
+    this.operatorPosition = nextPosition;
+    // An empty stream that was read has revision 1, to distinguish it from an unread one.
+    if (hasChanges || this.operatorRevision === 0) this.operatorRevision = nextPosition + 1;
+  }
+
+  /** Applies a configuration unless it is older than the current one, as in a restored store. */
+  private setConfiguration(configuration: GatewayConfiguration): boolean {
+    if (configuration.version <= this.configurationVersion) return false;
     this.currentConfiguration = configuration;
     this.currentRoutes = RouteTable.create(configuration.routes);
     this.listener.onConfiguration(configuration);
+    return true;
   }
 
   private report(
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -278,7 +278,8 @@
       isReader: this.control.isReader,
       storeReadAgeMs: this.control.storeReadAgeMs,
       operatorRevision: this.state.revision,
-      instanceOffset: this.state.nextInstanceOffset ?? -1,
+      configurationVersion: this.state.configurationVersion,
+      instancePosition: this.state.nextInstancePosition ?? -1,
       instanceDigest: this.state.digest,
     };
   }
--- a/packages/gatewayDaemon/src/instanceRegistry.ts
+++ b/packages/gatewayDaemon/src/instanceRegistry.ts
@@ -4,9 +4,11 @@
 import {
   COLD_TIME_TOLERANCE_MS,
   MASS_EXPIRY_SHARE,
-  NO_OFFSET,
+  NO_POSITION,
+  REGISTRATION_RENEWAL_GRACE_MS,
   TOMBSTONE_LIFETIME_MS,
 } from './constants.js';
+import { createPosition, getEra } from './storePosition.js';
 import type { InstanceChange, InstanceRecord, StreamPage } from './types.js';
 import { compareProcessVersions, describeRegistration, hashText } from './utils.js';
 
@@ -18,17 +20,17 @@
   readonly id: InstanceId;
   /** Newest record, with `coldForMs` from the time of sending; undefined if it is not in use. */
   readonly record: InstanceRecord | undefined;
-  /** Store offset of the record; NO_OFFSET without a record. */
-  readonly recordOffset: number;
-  /** Store offset of the newest removal; NO_OFFSET if there was none. */
-  readonly removedOffset: number;
+  /** Store position of the record; NO_POSITION without a record. */
+  readonly recordPosition: number;
+  /** Store position of the newest removal; NO_POSITION if there was none. */
+  readonly removedPosition: number;
   /** Time for which a registration that may have expired in an outage stays in use. */
   readonly retainForMs: number;
 }
 
-/** Entries of an entry VM that knows all changes before `nextOffset`. */
+/** Entries of an entry VM that knows all changes before `nextPosition`. */
 export interface RegistrySnapshot {
-  readonly nextOffset: number;
+  readonly nextPosition: number;
   /** Digest of all its registrations. */
   readonly digest: number;
   readonly entries: readonly RegistrationEntry[];
@@ -43,8 +45,8 @@
 
 interface Registration {
   record: InstanceRecord | undefined;
-  recordOffset: number;
-  removedOffset: number;
+  recordPosition: number;
+  removedPosition: number;
   /** Monotonic time at which the removal became known. */
   removedAtMs: number;
   /** Monotonic time until which the removed registration stays in use. */
@@ -53,24 +55,24 @@
   hasColdChange: boolean;
   /** Content that the digest covers; undefined if the instance is not registered. */
   description: string | undefined;
-  /** Offset of the latest change that other entry VMs need. */
-  changedOffset: number;
+  /** Position of the latest change that other entry VMs need. */
+  changedPosition: number;
 }
 
 const createRegistration = (): Registration => ({
   record: undefined,
-  recordOffset: NO_OFFSET,
-  removedOffset: NO_OFFSET,
+  recordPosition: NO_POSITION,
+  removedPosition: NO_POSITION,
   removedAtMs: -Infinity,
   retainedUntilMs: -Infinity,
   coldUntilMs: -Infinity,
   hasColdChange: false,
   description: undefined,
-  changedOffset: NO_OFFSET,
+  changedPosition: NO_POSITION,
 });
 
-const isRegistered = ({ record, recordOffset, removedOffset }: Registration): boolean =>
-  record !== undefined && recordOffset > removedOffset;
+const isRegistered = ({ record, recordPosition, removedPosition }: Registration): boolean =>
+  record !== undefined && recordPosition > removedPosition;
 
 const getInstanceId = (change: InstanceChange): InstanceId =>
   change.kind === 'registered' ? change.record.id : change.instanceId;
@@ -80,7 +82,7 @@
 
 /**
  * Registrations of instances. Records of an instance are ordered by process start and sequence, a
- * record and a removal by their store offsets, so that the order of arrival does not matter.
+ * record and a removal by their store positions, so that the order of arrival does not matter.
  */
 export class InstanceRegistry {
   private readonly registrations = new Map<InstanceId, Registration>();
@@ -89,7 +91,7 @@
 
   private currentDigest = 0;
 
-  private currentNextOffset: number | undefined;
+  private currentNextPosition: number | undefined;
 
   private constructor(private readonly clock: Clock) {}
 
@@ -98,9 +100,9 @@
     return new InstanceRegistry(clock);
   }
 
-  /** Store offset before which all changes are known; undefined before the first read. */
-  get nextOffset(): number | undefined {
-    return this.currentNextOffset;
+  /** Store position before which all changes are known; undefined before the first read. */
+  get nextPosition(): number | undefined {
+    return this.currentNextPosition;
   }
 
   /** Digest of the registrations; entry VMs with equal digests have the same instances. */
@@ -116,17 +118,32 @@
     page: StreamPage<InstanceChange>,
     renewableUntilMs: number | undefined,
   ): RegistryUpdate {
-    return this.applyRead(page, renewableUntilMs, new Set());
+    const touched = this.applyRead(page);
+    if (renewableUntilMs !== undefined) this.retainMassExpiry(touched, renewableUntilMs);
+    return this.finish(touched);
   }
 
-  /** Applies the newest record of each instance; an instance without one was removed. */
+  /**
+   * Applies the newest record of each instance; an instance without one was removed. In a store that
+   * was restored from a copy, the registration may only be lost until the instance renews it.
+   */
   replaceAll(
     page: StreamPage<InstanceChange>,
     renewableUntilMs: number | undefined,
   ): RegistryUpdate {
-    const touched = new Set<InstanceId>();
-    this.removeUnlisted(new Set(page.changes.map(getInstanceId)), page.nextOffset, touched);
-    return this.applyRead(page, renewableUntilMs, touched);
+    const nextPosition = createPosition(page.storeEra, page.nextOffset);
+    const isRestored =
+      this.currentNextPosition !== undefined && page.storeEra > getEra(this.currentNextPosition);
+    const unlisted = new Set<InstanceId>();
+    this.removeUnlisted(new Set(page.changes.map(getInstanceId)), nextPosition, unlisted);
+    const touched = new Set([...unlisted, ...this.applyRead(page)]);
+    if (isRestored) {
+      const afterRestoreMs = this.clock.monotonicMs() + REGISTRATION_RENEWAL_GRACE_MS;
+      this.retainExpired(unlisted, Math.max(renewableUntilMs ?? -Infinity, afterRestoreMs));
+    } else if (renewableUntilMs !== undefined) {
+      this.retainMassExpiry(touched, renewableUntilMs);
+    }
+    return this.finish(touched);
   }
 
   /** Merges some entries of another entry VM. */
@@ -135,24 +152,24 @@
   }
 
   /** Merges the entries of another entry VM that changed at this one's offset or later. */
-  mergeChangesSince({ nextOffset, digest, entries }: RegistrySnapshot): RegistryUpdate {
+  mergeChangesSince({ nextPosition, digest, entries }: RegistrySnapshot): RegistryUpdate {
     const update = this.merge(entries);
-    this.advance(nextOffset, digest);
+    this.advance(nextPosition, digest);
     return update;
   }
 
   /** Merges all entries of another entry VM. */
-  mergeSnapshot({ nextOffset, entries }: RegistrySnapshot): RegistryUpdate {
+  mergeSnapshot({ nextPosition, entries }: RegistrySnapshot): RegistryUpdate {
     const touched = this.mergeEntries(entries);
-    this.removeUnlisted(new Set(entries.map(({ id }) => id)), nextOffset, touched);
-    this.currentNextOffset = Math.max(this.currentNextOffset ?? 0, nextOffset);
+    this.removeUnlisted(new Set(entries.map(({ id }) => id)), nextPosition, touched);
+    this.currentNextPosition = Math.max(this.currentNextPosition ?? 0, nextPosition);
     return this.finish(touched);
   }
 
   /** Advances the offset when another entry VM has the same registrations at a later offset. */
-  advance(nextOffset: number, digest: number): void {
-    if (this.currentNextOffset === undefined || digest !== this.currentDigest) return;
-    this.currentNextOffset = Math.max(this.currentNextOffset, nextOffset);
+  advance(nextPosition: number, digest: number): void {
+    if (this.currentNextPosition === undefined || digest !== this.currentDigest) return;
+    this.currentNextPosition = Math.max(this.currentNextPosition, nextPosition);
   }
 
   /** Ends the use of registrations that were not renewed in time after an outage. */
@@ -174,40 +191,43 @@
     return this.listEntries(({ id }) => this.inUse.has(id));
   }
 
-  /** Lists the entries that changed at `offset` or later; undefined before the first read. */
-  listChangesSince(offset: number): RegistrySnapshot | undefined {
-    return this.listEntries(({ changedOffset }) => changedOffset >= offset);
+  /** Lists the entries that changed at `position` or later; undefined before the first read. */
+  listChangesSince(position: number): RegistrySnapshot | undefined {
+    return this.listEntries(({ changedPosition }) => changedPosition >= position);
   }
 
   private listEntries(
     isListed: (item: Registration & { readonly id: InstanceId }) => boolean,
   ): RegistrySnapshot | undefined {
-    if (this.currentNextOffset === undefined) return undefined;
+    if (this.currentNextPosition === undefined) return undefined;
     const entries = [...this.registrations]
       .filter(([id, registration]) => isListed({ ...registration, id }))
       .map(([id, registration]) => this.toEntry(id, registration));
-    return { nextOffset: this.currentNextOffset, digest: this.currentDigest, entries };
+    return { nextPosition: this.currentNextPosition, digest: this.currentDigest, entries };
   }
 
-  private applyRead(
-    { changes, nextOffset }: StreamPage<InstanceChange>,
-    renewableUntilMs: number | undefined,
-    touched: Set<InstanceId>,
-  ): RegistryUpdate {
-    for (const change of changes) this.applyChange(change, touched);
-    if (renewableUntilMs !== undefined) this.retainExpired(touched, renewableUntilMs);
-    this.currentNextOffset = Math.max(this.currentNextOffset ?? 0, nextOffset);
-    return this.finish(touched);
+  private applyRead({
+    storeEra,
+    changes,
+    nextOffset,
+  }: StreamPage<InstanceChange>): Set<InstanceId> {
+    const touched = new Set<InstanceId>();
+    for (const change of changes) {
+      this.applyChange(change, createPosition(storeEra, change.offset), touched);
+    }
+    const nextPosition = createPosition(storeEra, nextOffset);
+    this.currentNextPosition = Math.max(this.currentNextPosition ?? 0, nextPosition);
+    return touched;
   }
 
-  private applyChange(change: InstanceChange, touched: Set<InstanceId>): void {
+  private applyChange(change: InstanceChange, position: number, touched: Set<InstanceId>): void {
     switch (change.kind) {
       case 'registered':
-        this.setRecord(change.record, change.offset, touched);
+        this.setRecord(change.record, position, touched);
         return;
       case 'removed':
       case 'unreadable':
-        this.setRemoved(change.instanceId, change.offset, -Infinity, touched);
+        this.setRemoved(change.instanceId, position, -Infinity, touched);
         return;
       default:
         assertNever(change);
@@ -217,19 +237,23 @@
   private mergeEntries(entries: readonly RegistrationEntry[]): Set<InstanceId> {
     const touched = new Set<InstanceId>();
     const nowMs = this.clock.monotonicMs();
-    for (const { id, record, recordOffset, removedOffset, retainForMs } of entries) {
-      if (record !== undefined) this.setRecord(record, recordOffset, touched);
+    for (const { id, record, recordPosition, removedPosition, retainForMs } of entries) {
+      if (record !== undefined) this.setRecord(record, recordPosition, touched);
       const retainedUntilMs = retainForMs > 0 ? nowMs + retainForMs : -Infinity;
-      this.setRemoved(id, removedOffset, retainedUntilMs, touched);
+      this.setRemoved(id, removedPosition, retainedUntilMs, touched);
     }
     return touched;
   }
 
-  private setRecord(record: InstanceRecord, offset: number, touched: Set<InstanceId>): void {
+  private setRecord(record: InstanceRecord, position: number, touched: Set<InstanceId>): void {
     const registration = this.findOrCreate(record.id);
     const former = registration.record;
     const order = former === undefined ? 1 : compareProcessVersions(record, former);
-    if (order < 0 || (order === 0 && offset <= registration.recordOffset)) return;
+    if (order < 0 || (order === 0 && position <= registration.recordPosition)) return;
+    // A store that was restored from a copy holds records again that were removed before.
+    const isRemovedInFormerEra =
+      !isRegistered(registration) && getEra(registration.removedPosition) < getEra(position);
+    if (order === 0 && isRemovedInFormerEra) return;
     const coldUntilMs = this.clock.monotonicMs() + record.coldForMs;
     const coldShiftMs = Math.abs(coldUntilMs - registration.coldUntilMs);
     // Renewals repeat the remaining time, which other entry VMs count down themselves.
@@ -237,37 +261,37 @@
       registration.hasColdChange = true;
     }
     registration.record = record;
-    registration.recordOffset = offset;
+    registration.recordPosition = position;
     registration.coldUntilMs = coldUntilMs;
     touched.add(record.id);
   }
 
   private setRemoved(
     id: InstanceId,
-    offset: number,
+    position: number,
     retainedUntilMs: number,
     touched: Set<InstanceId>,
   ): void {
     const registration = this.findOrCreate(id);
-    if (offset < registration.removedOffset || offset === NO_OFFSET) return;
+    if (position < registration.removedPosition || position === NO_POSITION) return;
     // Whoever has ended the use of a removed instance does not resume it because others keep it.
     registration.retainedUntilMs = isRegistered(registration)
       ? retainedUntilMs
       : Math.min(registration.retainedUntilMs, retainedUntilMs);
-    registration.removedOffset = offset;
+    registration.removedPosition = position;
     registration.removedAtMs = this.clock.monotonicMs();
     touched.add(id);
   }
 
   private removeUnlisted(
     listed: ReadonlySet<InstanceId>,
-    nextOffset: number,
+    nextPosition: number,
     touched: Set<InstanceId>,
   ): void {
     for (const [id, registration] of this.registrations) {
-      const isCovered = registration.recordOffset < nextOffset;
+      const isCovered = registration.recordPosition < nextPosition;
       if (isCovered && isRegistered(registration) && !listed.has(id)) {
-        this.setRemoved(id, nextOffset - 1, -Infinity, touched);
+        this.setRemoved(id, nextPosition - 1, -Infinity, touched);
       }
     }
   }
@@ -276,16 +300,24 @@
    * Keeps removed registrations in use while their instances may still renew them. Only an outage
    * removes many of them at once; a few are of instances that have left.
    */
+  private retainMassExpiry(touched: ReadonlySet<InstanceId>, renewableUntilMs: number): void {
+    if (this.listExpired().length < this.inUse.size * MASS_EXPIRY_SHARE) return;
+    this.retainExpired(touched, renewableUntilMs);
+  }
+
   private retainExpired(touched: ReadonlySet<InstanceId>, renewableUntilMs: number): void {
-    const expired = [...this.inUse.values()].filter(
-      ({ id, isDraining }) => !isDraining && !isRegistered(this.findOrCreate(id)),
-    );
-    if (expired.length < this.inUse.size * MASS_EXPIRY_SHARE) return;
-    for (const { id } of expired) {
+    for (const { id } of this.listExpired()) {
       if (touched.has(id)) this.findOrCreate(id).retainedUntilMs = renewableUntilMs;
     }
   }
 
+  /** Instances in use whose registrations are removed, although they had not been draining. */
+  private listExpired(): InstanceRecord[] {
+    return [...this.inUse.values()].filter(
+      ({ id, isDraining }) => !isDraining && !isRegistered(this.findOrCreate(id)),
+    );
+  }
+
   /** Updates digest and instances in use after changes of the touched registrations. */
   private finish(touched: ReadonlySet<InstanceId>): RegistryUpdate {
     const changed: InstanceRecord[] = [];
@@ -315,25 +347,25 @@
   /** Updates the digest; returns whether other entry VMs need the change. */
   private updateDescription(id: InstanceId): boolean {
     const registration = this.findOrCreate(id);
-    const { record, recordOffset, removedOffset, hasColdChange } = registration;
+    const { record, recordPosition, removedPosition, hasColdChange } = registration;
     const description =
       record !== undefined && isRegistered(registration) ? describeRegistration(record) : undefined;
     if (description === registration.description && !hasColdChange) return false;
     this.currentDigest += hashDescription(description) - hashDescription(registration.description);
     registration.description = description;
-    registration.changedOffset = Math.max(recordOffset, removedOffset);
+    registration.changedPosition = Math.max(recordPosition, removedPosition);
     return true;
   }
 
   private toEntry(id: InstanceId, registration: Registration): RegistrationEntry {
-    const { record, recordOffset, removedOffset, retainedUntilMs, coldUntilMs } = registration;
+    const { record, recordPosition, removedPosition, retainedUntilMs, coldUntilMs } = registration;
     const nowMs = this.clock.monotonicMs();
     const retainForMs = isRegistered(registration) ? 0 : Math.max(retainedUntilMs - nowMs, 0);
     if (record === undefined || (!isRegistered(registration) && retainForMs === 0)) {
-      return { id, record: undefined, recordOffset: NO_OFFSET, removedOffset, retainForMs };
+      return { id, record: undefined, recordPosition: NO_POSITION, removedPosition, retainForMs };
     }
     const coldForMs = Math.max(coldUntilMs - nowMs, 0);
-    return { id, record: { ...record, coldForMs }, recordOffset, removedOffset, retainForMs };
+    return { id, record: { ...record, coldForMs }, recordPosition, removedPosition, retainForMs };
   }
 
   private findOrCreate(id: InstanceId): Registration {
--- a/packages/gatewayDaemon/src/memberTable.ts
+++ b/packages/gatewayDaemon/src/memberTable.ts
@@ -35,7 +35,8 @@
    */
   readonly storeReadAgeMs: number;
   readonly operatorRevision: number;
-  readonly instanceOffset: number;
+  readonly configurationVersion: number;
+  readonly instancePosition: number;
   readonly instanceDigest: number;
 }
 
--- a/packages/gatewayDaemon/src/peerMessages.ts
+++ b/packages/gatewayDaemon/src/peerMessages.ts
@@ -2,7 +2,7 @@
 
 import { assertNever, formatEndpoint, parseEndpoint } from '@bronzelift/common';
 
-import { MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES } from './constants.js';
+import { MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES, NO_VERSION } from './constants.js';
 import type { RegistrationEntry } from './instanceRegistry.js';
 import type { InstanceLimit } from './limitExchange.js';
 import type { MemberStatus } from './memberTable.js';
@@ -42,8 +42,9 @@
   Number(status.isReader),
   Math.round(status.storeReadAgeMs),
   status.operatorRevision,
-  status.instanceOffset,
+  status.instancePosition,
   status.instanceDigest,
+  status.configurationVersion,
 ];
 
 const decodeStatus = (fields: unknown): MemberStatus | undefined => {
@@ -53,7 +54,7 @@
   const phaseName = PHASES[Number(phase)];
   if (callerEndpoint === undefined || phaseName === undefined) return undefined;
   if (!numbers.every((value) => typeof value === 'number')) return undefined;
-  const [isStoreFailing, isReader, storeReadAgeMs, revision, offset, digest] = numbers;
+  const [isStoreFailing, isReader, storeReadAgeMs, revision, offset, digest, version] = numbers;
   return {
     vmId: String(vmId),
     incarnation: String(incarnation),
@@ -64,8 +65,10 @@
     isReader: isReader === 1,
     storeReadAgeMs: storeReadAgeMs!,
     operatorRevision: revision!,
-    instanceOffset: offset!,
+    instancePosition: offset!,
     instanceDigest: digest!,
+    // Earlier builds do not send the version.
+    configurationVersion: version ?? NO_VERSION,
   };
 };
 
--- a/packages/gatewayDaemon/src/peerNetwork.ts
+++ b/packages/gatewayDaemon/src/peerNetwork.ts
@@ -26,8 +26,9 @@
 /** Versions that the requester already has. */
 export interface PeerStateQuery {
   readonly operatorRevision: number;
-  /** Registrations that changed at this offset or later are requested; undefined for all. */
-  readonly instanceOffset: number | undefined;
+  readonly configurationVersion: number;
+  /** Registrations that changed at this position or later are requested; undefined for all. */
+  readonly instancePosition: number | undefined;
 }
 
 /** Addresses and callbacks of a PeerNetwork. */
@@ -148,11 +149,12 @@
   /** Fetches what a peer knows beyond the query's versions; rejects with a StepError. */
   async fetchState(
     host: string,
-    { operatorRevision, instanceOffset }: PeerStateQuery,
+    { operatorRevision, configurationVersion, instancePosition }: PeerStateQuery,
   ): Promise<PeerState> {
     const { port } = this.options;
-    const since = instanceOffset === undefined ? '' : `&since=${instanceOffset}`;
-    const path = `${STATE_PATH}?revision=${operatorRevision}${since}`;
+    const since = instancePosition === undefined ? '' : `&since=${instancePosition}`;
+    const versions = `revision=${operatorRevision}&version=${configurationVersion}`;
+    const path = `${STATE_PATH}?${versions}${since}`;
     // Limits the whole response: over a congested link a few bytes may arrive all the time.
     const signal = AbortSignal.timeout(PEER_FETCH_TIMEOUT_MS);
     try {
@@ -192,6 +194,9 @@
   private async answer(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(message.url ?? '/', 'http://peer');
     const operatorRevision = Number(url.searchParams.get('revision') ?? 0);
+    const version = url.searchParams.get('version');
+    // Earlier builds do not send the version; the revision alone decides for them.
+    const configurationVersion = version === null ? Infinity : Number(version);
     if (url.pathname === WHOLE_STATE_PATH) {
       this.answerFormerBuild(operatorRevision, response);
       return;
@@ -203,7 +208,8 @@
     const since = url.searchParams.get('since');
     const { operator, instances } = this.options.createState({
       operatorRevision,
-      instanceOffset: since === null ? undefined : Number(since),
+      configurationVersion,
+      instancePosition: since === null ? undefined : Number(since),
     });
     const state = { operator, instances: instances && encodeSnapshot(instances) };
     const data = await compress(JSON.stringify(state));
@@ -221,10 +227,11 @@
   private answerFormerBuild(operatorRevision: number, response: ServerResponse): void {
     const { operator, instances } = this.options.createState({
       operatorRevision,
-      instanceOffset: undefined,
+      configurationVersion: Infinity,
+      instancePosition: undefined,
     });
     const records = instances && {
-      nextOffset: instances.nextOffset,
+      nextOffset: instances.nextPosition,
       instances: instances.entries.flatMap(({ record }) => record ?? []),
     };
     response.setHeader('connection', 'close');
--- a/packages/gatewayDaemon/src/registrationCodec.ts
+++ b/packages/gatewayDaemon/src/registrationCodec.ts
@@ -1,6 +1,6 @@
 import { formatEndpoint, parseEndpoint } from '@bronzelift/common';
 
-import { NO_OFFSET } from './constants.js';
+import { NO_POSITION } from './constants.js';
 import type { RegistrationEntry, RegistrySnapshot } from './instanceRegistry.js';
 
 const REMOVAL_FIELDS = 4;
@@ -11,8 +11,8 @@
 
 /** Encodes a registration by position. */
 export const encodeEntry = (entry: RegistrationEntry): EncodedEntry => {
-  const { id, record, recordOffset, removedOffset, retainForMs } = entry;
-  const removal = [id, recordOffset, removedOffset, Math.round(retainForMs)];
+  const { id, record, recordPosition, removedPosition, retainForMs } = entry;
+  const removal = [id, recordPosition, removedPosition, Math.round(retainForMs)];
   if (record === undefined) return removal;
   return [
     ...removal,
@@ -30,17 +30,17 @@
 /** Decodes a registration; returns undefined for fields that this version does not know. */
 export const decodeEntry = (fields: unknown): RegistrationEntry | undefined => {
   if (!Array.isArray(fields)) return undefined;
-  const [id, recordOffset, removedOffset, retainForMs] = fields as unknown[];
-  const numbers = [recordOffset, removedOffset, retainForMs];
+  const [id, recordPosition, removedPosition, retainForMs] = fields as unknown[];
+  const numbers = [recordPosition, removedPosition, retainForMs];
   if (typeof id !== 'string' || !numbers.every((value) => Number.isFinite(value))) return undefined;
   const entry = {
     id,
-    recordOffset: Number(recordOffset),
-    removedOffset: Number(removedOffset),
+    recordPosition: Number(recordPosition),
+    removedPosition: Number(removedPosition),
     retainForMs: Number(retainForMs),
   };
   if (fields.length === REMOVAL_FIELDS) {
-    return { ...entry, record: undefined, recordOffset: NO_OFFSET };
+    return { ...entry, record: undefined, recordPosition: NO_POSITION };
   }
   if (fields.length < RECORD_FIELDS) return undefined;
   const [service, address, domain, ...counts] = (fields as unknown[]).slice(REMOVAL_FIELDS);
@@ -62,17 +62,17 @@
 };
 
 /** Encodes a snapshot for a JSON body. */
-export const encodeSnapshot = ({ nextOffset, digest, entries }: RegistrySnapshot): unknown => ({
-  nextOffset,
+export const encodeSnapshot = ({ nextPosition, digest, entries }: RegistrySnapshot): unknown => ({
+  nextOffset: nextPosition,
   digest,
   entries: entries.map(encodeEntry),
 });
 
 /** Decodes a snapshot; returns undefined if a part of it is not known to this version. */
 export const decodeSnapshot = (value: unknown): RegistrySnapshot | undefined => {
-  const { nextOffset, digest, entries } = (value ?? {}) as Record<string, unknown>;
-  if (typeof nextOffset !== 'number' || typeof digest !== 'number') return undefined;
+  const { nextOffset: nextPosition, digest, entries } = (value ?? {}) as Record<string, unknown>;
+  if (typeof nextPosition !== 'number' || typeof digest !== 'number') return undefined;
   if (!Array.isArray(entries)) return undefined;
   const decoded = entries.flatMap((fields) => decodeEntry(fields) ?? []);
-  return decoded.length === entries.length ? { nextOffset, digest, entries: decoded } : undefined;
+  return decoded.length === entries.length ? { nextPosition, digest, entries: decoded } : undefined;
 };
--- a/packages/gatewayDaemon/src/stateGauges.ts
+++ b/packages/gatewayDaemon/src/stateGauges.ts
@@ -72,7 +72,7 @@
       metrics.gauge('bronzelift_configuration_age_seconds').set(ageMs / MS_PER_S);
     }
     metrics.gauge('bronzelift_operator_revision').set(revision);
-    metrics.gauge('bronzelift_instance_list_offset').set(state.nextInstanceOffset ?? -1);
+    metrics.gauge('bronzelift_instance_list_offset').set(state.nextInstancePosition ?? -1);
     metrics.gauge('bronzelift_members').set(members.live().length + 1);
     metrics.gauge('bronzelift_store_reader').set(Number(control.isReader));
     metrics.gauge('bronzelift_store_failing').set(Number(members.isOwnStoreFailing));
--- a/packages/gatewayDaemon/src/storeReader.ts
+++ b/packages/gatewayDaemon/src/storeReader.ts
@@ -14,6 +14,7 @@
 import type { ControlState } from './controlState.js';
 import type { RegistrationEntry } from './instanceRegistry.js';
 import type { OutageTracker } from './outageTracker.js';
+import { getEra, getOffset } from './storePosition.js';
 import type { ControlStore, OperatorChange, StreamRead } from './types.js';
 
 /** Dependencies and callbacks of a StoreReader. */
@@ -33,6 +34,8 @@
   /** Called after each read of the registrations, even without a change. */
   readonly onInstancesRead: (changes: readonly RegistrationEntry[]) => void;
   readonly onOperatorChange: () => void;
+  /** Called for each stream when the store was restored from a copy. */
+  readonly onRestored: () => void;
 }
 
 type StreamName = 'registrations' | 'operators';
@@ -49,8 +52,6 @@
 
   private operatorWatch = new AbortController();
 
-  private storeEra: number | undefined;
-
   /** Streams whose latest read failed. */
   private readonly failing = new Set<StreamName>();
 
@@ -121,10 +122,13 @@
 
   private async readInstances(): Promise<void> {
     const { store, state } = this.options;
-    const offset = state.nextInstanceOffset;
-    const read = offset === undefined ? undefined : await store.readInstances(offset);
-    if (read !== undefined) this.recordEra('registrations', offset, read);
-    if (read?.kind === 'page') {
+    const position = state.nextInstancePosition;
+    const read =
+      position === undefined ? undefined : await store.readInstances(getOffset(position));
+    const isRestored = read !== undefined && this.isRestored('registrations', position!, read);
+    // A long poll that was sent before the store was restored may not return before its timeout.
+    if (isRestored) this.operatorWatch.abort();
+    if (read?.kind === 'page' && !isRestored) {
       const renewableUntilMs = this.recordInstanceRead();
       this.options.onInstancesRead(state.applyInstanceChanges(read, renewableUntilMs));
       return;
@@ -136,11 +140,11 @@
 
   private async watchOperatorRecords(): Promise<void> {
     const { store, state } = this.options;
-    const offset = state.nextOperatorOffset;
+    const position = state.nextOperatorPosition;
     const formerRevision = state.revision;
-    const read = offset === undefined ? undefined : await this.watchFrom(offset);
-    if (read !== undefined) this.recordEra('operators', offset, read);
-    if (read?.kind === 'page') state.applyOperatorChanges(read);
+    const read = position === undefined ? undefined : await this.watchFrom(getOffset(position));
+    const isRestored = read !== undefined && this.isRestored('operators', position!, read);
+    if (read?.kind === 'page' && !isRestored) state.applyOperatorChanges(read);
     else state.replaceOperatorState(await store.readNewestOperatorRecords());
     if (state.revision !== formerRevision) this.options.onOperatorChange();
     // No pause is needed here: without a configuration the stream is empty, and the next long poll
@@ -167,24 +171,23 @@
     return this.options.outages.renewableUntilMs(nowMs);
   }
 
-  /** Logs that the store was restored from a copy; its offsets are lower than before. */
-  private recordEra(
-    stream: StreamName,
-    offset: number | undefined,
-    read: StreamRead<unknown>,
-  ): void {
+  /**
+   * Whether the store was restored from a copy since the position was read. Its records at the same
+   * offset are then others, and its newest records must be read.
+   */
+  private isRestored(stream: StreamName, position: number, read: StreamRead<unknown>): boolean {
+    const formerEra = getEra(position);
     const { storeEra } = read;
-    const formerEra = this.storeEra;
-    this.storeEra = storeEra;
-    if (storeEra === (formerEra ?? storeEra)) return;
+    if (storeEra === formerEra) return false;
     this.options.log.warn(LogComponent.log, 'store restored from a copy', {
       stream,
       formerEra,
       storeEra,
-      requestedOffset: offset,
+      requestedOffset: getOffset(position),
       outcome: read.kind,
-      nextOffset: read.kind === 'page' ? read.nextOffset : undefined,
     });
+    this.options.onRestored();
+    return true;
   }
 
   private handleSuccess(stream: StreamName): void {
--- a/packages/gatewayDaemon/src/types.ts
+++ b/packages/gatewayDaemon/src/types.ts
@@ -120,7 +120,7 @@
   ) => Promise<StreamRead<OperatorChange>>;
   readonly readNewestInstances: () => Promise<StreamPage<InstanceChange>>;
   readonly readInstances: (offset: number) => Promise<StreamRead<InstanceChange>>;
-  readonly recordMember: (member: MemberRecord) => Promise<void>;
+  readonly recordMembers: (members: readonly MemberRecord[]) => Promise<void>;
   readonly readMembers: () => Promise<readonly MemberRecord[]>;
   readonly close: () => void;
 }
--- a/packages/gatewayDaemon/tests/controlState.test.ts
+++ b/packages/gatewayDaemon/tests/controlState.test.ts
@@ -126,7 +126,7 @@
     const back = registered(createRecord('x', { sequence: 2 }));
     state.applyInstanceChanges(createPage([back], 5), afterOutage(clock));
     clock.advance(REGISTRATION_RENEWAL_GRACE_MS);
-    state.removeExpiredInstances();
+    state.removeExpired();
     expect([...used.keys()]).to.deep.equal(['x']);
   });
 
@@ -141,12 +141,12 @@
     state.applyInstanceChanges(createPage([removed('x')], 2), afterOutage(clock));
     const back = registered(createRecord('x', { sequence: 2 }));
     peer.state.applyInstanceChanges(createPage([removed('x'), back], 3), undefined);
-    state.advanceInstanceOffset(peer.state.nextInstanceOffset!, peer.state.digest);
-    expect(state.nextInstanceOffset).to.equal(2);
+    state.advanceInstancePosition(peer.state.nextInstancePosition!, peer.state.digest);
+    expect(state.nextInstancePosition).to.equal(2);
     state.mergeInstanceChangesSince(peer.state.listInstanceChangesSince(2)!);
     state.applyInstanceChanges(createPage([back], 3), undefined);
     clock.advance(REGISTRATION_RENEWAL_GRACE_MS);
-    state.removeExpiredInstances();
+    state.removeExpired();
     expect([...used.keys()]).to.deep.equal(['x']);
   });
 
@@ -228,7 +228,7 @@
     const renewableUntilMs = outages.renewableUntilMs(clock.monotonicMs());
     state.applyInstanceChanges(createPage([removed('x')], 2), renewableUntilMs);
     clock.advance(2);
-    state.removeExpiredInstances();
+    state.removeExpired();
     expect([...used.keys()]).to.deep.equal([]);
   });
 });
--- a/packages/gatewayDaemon/tests/limitSharing.test.ts
+++ b/packages/gatewayDaemon/tests/limitSharing.test.ts
@@ -33,7 +33,8 @@
     isReader: false,
     storeReadAgeMs: 100,
     operatorRevision: 1,
-    instanceOffset: 1,
+    configurationVersion: 1,
+    instancePosition: 1,
     instanceDigest: 1,
   };
   const random = SeededRandom.create(index);
--- a/packages/gatewayDaemon/tests/memberTable.test.ts
+++ b/packages/gatewayDaemon/tests/memberTable.test.ts
@@ -8,7 +8,7 @@
   MAX_DATAGRAM_BYTES,
   MEMBER_LOST_MS,
   MEMBER_REMOVAL_MS,
-  NO_OFFSET,
+  NO_POSITION,
   READER_COUNT,
 } from '../src/constants.js';
 import { MemberTable } from '../src/memberTable.js';
@@ -30,7 +30,8 @@
   isReader: false,
   storeReadAgeMs: 100,
   operatorRevision: 1,
-  instanceOffset: 1,
+  configurationVersion: 1,
+  instancePosition: 1,
   instanceDigest: 1,
   ...fields,
 });
@@ -178,14 +179,14 @@
     for (const message of messages) {
       expect(decodeMessage(encodeMessage(message))).to.deep.equal(message);
     }
-    const removal = { record: undefined, recordOffset: NO_OFFSET, removedOffset: 7 };
+    const removal = { record: undefined, recordPosition: NO_POSITION, removedPosition: 7 };
     const entries = range(200).flatMap((index) => [
       { id: `r${index}`, ...removal, retainForMs: 0 },
       {
         id: `i${index}`,
         record: createRecord(`i${index}`, { startedAtWallMs: 1_700_000_000_000 + index }),
-        recordOffset: index,
-        removedOffset: NO_OFFSET,
+        recordPosition: index,
+        removedPosition: NO_POSITION,
         retainForMs: 0,
       },
     ]);
--- a/packages/gatewayDaemon/tests/peerNetwork.test.ts
+++ b/packages/gatewayDaemon/tests/peerNetwork.test.ts
@@ -5,7 +5,7 @@
 import { DecisionLog, Metrics } from '@bronzelift/observability';
 import { expect } from 'chai';
 
-import { NO_OFFSET, SEND_INTERVAL_MS } from '../src/constants.js';
+import { NO_POSITION, SEND_INTERVAL_MS } from '../src/constants.js';
 import { PeerNetwork } from '../src/peerNetwork.js';
 import type { PeerNetworkOptions } from '../src/peerNetwork.js';
 import { createRecord } from './support/createRecord.js';
@@ -35,8 +35,14 @@
   // Guards against members of an earlier build that keep an old state during an upgrade.
   it('sends members of an earlier build the whole state without offsets', async () => {
     const record = createRecord('x');
-    const entry = { id: 'x', record, recordOffset: 3, removedOffset: NO_OFFSET, retainForMs: 0 };
-    const instances = { nextOffset: 9, digest: 5, entries: [entry] };
+    const entry = {
+      id: 'x',
+      record,
+      recordPosition: 3,
+      removedPosition: NO_POSITION,
+      retainForMs: 0,
+    };
+    const instances = { nextPosition: 9, digest: 5, entries: [entry] };
     const network = createNetwork(() => ({ operator: undefined, instances }));
     await network.open();
     try {
