--- a/packages/entryDaemon/tests/endlessAnswer.process.test.ts
+++ b/packages/entryDaemon/tests/endlessAnswer.process.test.ts
@@ -16,6 +16,7 @@
 /** Longer than the test waits, so that an attempt that ends only with its timeout is noticed. */
 const TIMEOUT_MS = 10_000;
 const MAX_LATENCY_MS = 5_000;
+const ORDERS_MS = 2_000;
 /** Resident memory of an entry daemon under usual load, and its buffers for responses. */
 const MAX_MEMORY_KB = 400_000;
 
@@ -55,4 +56,26 @@
       }
     }),
   );
+
+  (['endless-head', 'endless-body'] as const).forEach((fault) => {
+    // Guards against an order that is held until its timeout, since nothing else may send it again.
+    processTest(`do not hold orders until their timeout when instances have fault ${fault}`, () =>
+      withDeployment(createTestShape(), async (deployment) => {
+        await warmUp(deployment);
+        await deployment.changeBackendBehavior({ kind: 'response-fault', fault, probability: 1 });
+        const startedAtMs = performance.now();
+        const { total, orderAudit } = await loadDeployment(
+          deployment,
+          { lookupsPerSecond: 0, ordersPerSecond: 4, durationMs: ORDERS_MS, timeoutMs: TIMEOUT_MS },
+          [],
+          { unknownRepeats: 0, settleMs: 0 },
+        );
+        expect(performance.now() - startedAtMs).to.be.below(ORDERS_MS + MAX_LATENCY_MS);
+        expect(total.orders.offered).to.be.above(0);
+        expect(total.orders.unknown, JSON.stringify(total.orders)).to.equal(total.orders.offered);
+        expect(total.orders.unknownByCode).to.not.have.property('timeout');
+        expect(orderAudit.findings).to.deep.equal([]);
+      }),
+    );
+  });
 });
