Keep what a restored store has lost when its newest records arrive by other ways

Change: a whole state from a later era retains what it does not list; a second read in the time replaces what is taken over at its end. A read of the newest records that leads to no later position is repeated after a pause only.

--- a/packages/gatewayDaemon/src/controlState.ts
+++ b/packages/gatewayDaemon/src/controlState.ts
@@ -165,6 +165,7 @@
         kind === 'domain-out' || kind === 'domain-in';
       const others = page.changes.filter((change) => !isDomainChange(change));
       this.applyOperatorChanges({ ...page, changes: others });
+      // A new era counts as a change, so that the other entry VMs take over its position.
       this.advanceOperatorPosition(nextPosition, true);
       return;
     }
--- a/packages/gatewayDaemon/src/domainsOut.ts
+++ b/packages/gatewayDaemon/src/domainsOut.ts
@@ -48,10 +48,10 @@
     }
   }
 
-  /** Replaces the set by what the store says. */
+  /** Replaces the set by what the store says; if it was restored, when this is due. */
   replace(domainsOut: Iterable<FailureDomainId>): void {
-    this.current = new Set(domainsOut);
-    this.restored = undefined;
+    if (this.restored === undefined) this.current = new Set(domainsOut);
+    else this.replaceLater(domainsOut, this.restored.untilMs);
   }
 
   /** Keeps the set until `untilMs`, and replaces it then by what a restored store says. */
@@ -66,7 +66,8 @@
     }
     const { domainsOut } = this.restored;
     const hasChanged = !hasSameMembers(domainsOut, this.current);
-    this.replace(domainsOut);
+    this.current = domainsOut;
+    this.restored = undefined;
     return hasChanged;
   }
 
@@ -80,7 +81,8 @@
 
   /** Replaces the state by that of another entry VM. */
   adopt({ domainsOut, restoredDomains }: DomainsOutSnapshot): void {
-    this.replace(domainsOut);
+    this.current = new Set(domainsOut);
+    this.restored = undefined;
     if (restoredDomains === undefined) return;
     const untilMs = this.clock.monotonicMs() + restoredDomains.forMs;
     this.replaceLater(restoredDomains.domainsOut, untilMs);
--- a/packages/gatewayDaemon/src/instanceRegistry.ts
+++ b/packages/gatewayDaemon/src/instanceRegistry.ts
@@ -132,13 +132,12 @@
     renewableUntilMs: number | undefined,
   ): RegistryUpdate {
     const nextPosition = createPosition(page.storeEra, page.nextOffset);
-    const isRestored =
-      this.currentNextPosition !== undefined && page.storeEra > getEra(this.currentNextPosition);
+    const isRestored = this.isFormerEra(page.storeEra);
     const unlisted = new Set<InstanceId>();
     this.removeUnlisted(new Set(page.changes.map(getInstanceId)), nextPosition, unlisted);
     const touched = new Set([...unlisted, ...this.applyRead(page)]);
     if (isRestored) {
-      const afterRestoreMs = this.clock.monotonicMs() + REGISTRATION_RENEWAL_GRACE_MS;
+      const afterRestoreMs = this.calculateRenewalLimitMs();
       this.retainExpired(unlisted, Math.max(renewableUntilMs ?? -Infinity, afterRestoreMs));
     } else if (renewableUntilMs !== undefined) {
       this.retainMassExpiry(touched, renewableUntilMs);
@@ -158,12 +157,18 @@
     return update;
   }
 
-  /** Merges all entries of another entry VM. */
+  /**
+   * Merges all entries of another entry VM. If it has read a store that was restored from a copy, and
+   * this one has not, the other one may not know registrations that the copy has lost.
+   */
   mergeSnapshot({ nextPosition, entries }: RegistrySnapshot): RegistryUpdate {
+    const isRestored = this.isFormerEra(getEra(nextPosition));
     const touched = this.mergeEntries(entries);
-    this.removeUnlisted(new Set(entries.map(({ id }) => id)), nextPosition, touched);
+    const unlisted = new Set<InstanceId>();
+    this.removeUnlisted(new Set(entries.map(({ id }) => id)), nextPosition, unlisted);
+    if (isRestored) this.retainExpired(unlisted, this.calculateRenewalLimitMs());
     this.currentNextPosition = Math.max(this.currentNextPosition ?? 0, nextPosition);
-    return this.finish(touched);
+    return this.finish(new Set([...touched, ...unlisted]));
   }
 
   /** Advances the offset when another entry VM has the same registrations at a later offset. */
@@ -305,6 +310,16 @@
     this.retainExpired(touched, renewableUntilMs);
   }
 
+  /** Whether what is known was read before the store was restored to the given era. */
+  private isFormerEra(storeEra: number): boolean {
+    return this.currentNextPosition !== undefined && getEra(this.currentNextPosition) < storeEra;
+  }
+
+  /** Monotonic time until which instances renew registrations that a restored store has lost. */
+  private calculateRenewalLimitMs(): number {
+    return this.clock.monotonicMs() + REGISTRATION_RENEWAL_GRACE_MS;
+  }
+
   private retainExpired(touched: ReadonlySet<InstanceId>, renewableUntilMs: number): void {
     for (const { id } of this.listExpired()) {
       if (touched.has(id)) this.findOrCreate(id).retainedUntilMs = renewableUntilMs;
--- a/packages/gatewayDaemon/src/storeReader.ts
+++ b/packages/gatewayDaemon/src/storeReader.ts
@@ -52,6 +52,8 @@
 
   private operatorWatch = new AbortController();
 
+  private operatorPauseMs = 0;
+
   /** Streams whose latest read failed. */
   private readonly failing = new Set<StreamName>();
 
@@ -72,7 +74,7 @@
     this.run(
       'operators',
       () => this.watchOperatorRecords(),
-      () => 0,
+      () => this.operatorPauseMs,
     );
   }
 
@@ -147,8 +149,11 @@
     if (read?.kind === 'page' && !isRestored) state.applyOperatorChanges(read);
     else state.replaceOperatorState(await store.readNewestOperatorRecords());
     if (state.revision !== formerRevision) this.options.onOperatorChange();
-    // No pause is needed here: without a configuration the stream is empty, and the next long poll
-    // ends with its first record.
+    // A long poll needs no pause; without a configuration it ends with the first record. The newest
+    // records are read again only after a pause, if they did not lead to another position.
+    const hasWaited = read?.kind === 'page' && !isRestored;
+    const hasAdvanced = state.nextOperatorPosition !== position;
+    this.operatorPauseMs = hasWaited || hasAdvanced ? 0 : STORE_RETRY_DELAY_MS;
   }
 
   private watchFrom(offset: number): Promise<StreamRead<OperatorChange>> {
--- a/packages/gatewayDaemon/tests/restoredStore.test.ts
+++ b/packages/gatewayDaemon/tests/restoredStore.test.ts
@@ -98,4 +98,40 @@
     model.exchange(0, 1);
     expect(model.members[1]!.state.configurationVersion).to.equal(4);
   });
+
+  // Guards against the removal of running instances that a member does not know which started before
+  // they registered again.
+  it('keep instances that only the copy lacks when a started member sends its whole state', () => {
+    const model = new RestoredStoreModel();
+    model.register('x');
+    model.copy();
+    model.register('y');
+    model.read(0);
+    model.restore();
+    model.restart(1);
+    model.read(1);
+    model.exchange(1, 0);
+    const [{ state, used }] = model.members as [(typeof model.members)[number]];
+    expect([...used.keys()]).to.have.members(['x', 'y']);
+    model.clock.advance(REGISTRATION_RENEWAL_GRACE_MS);
+    state.removeExpired();
+    expect([...used.keys()]).to.deep.equal(['x']);
+  });
+
+  // Guards against a failure domain that is used again because the store is read again, after its
+  // records have expired, before the operators have written again.
+  it('keep a failure domain out of service when the restored store is read twice', () => {
+    const model = new RestoredStoreModel();
+    model.copy();
+    model.setDomainOut(true);
+    model.read(0);
+    model.restore();
+    model.read(0);
+    const [{ state }] = model.members as [(typeof model.members)[number]];
+    state.replaceOperatorState({ storeEra: 1, changes: [], nextOffset: 0 });
+    expect(state.isDomainOut(MODEL_DOMAIN)).to.equal(true);
+    model.clock.advance(REGISTRATION_RENEWAL_GRACE_MS);
+    state.removeExpired();
+    expect(state.isDomainOut(MODEL_DOMAIN)).to.equal(false);
+  });
 });
