Send members of earlier builds offsets, not positions

Change: heartbeats carry offsets where earlier builds expect them, and the eras in later fields, which is also shorter. Changed registrations have a new message code, which earlier builds ignore; they notice the difference by the digest and fetch the state from its former path, where they get offsets.

Result: peerNetwork.test.ts checks the offsets that earlier builds get, memberTable.test.ts the heartbeats. Not run: a process of the earlier build beside a new one.

--- a/packages/gatewayDaemon/src/peerMessages.ts
+++ b/packages/gatewayDaemon/src/peerMessages.ts
@@ -7,6 +7,7 @@
 import type { InstanceLimit } from './limitExchange.js';
 import type { MemberStatus } from './memberTable.js';
 import { decodeEntry, encodeEntry } from './registrationCodec.js';
+import { createPosition, getEra, toOffset } from './storePosition.js';
 
 /** A message that entry VMs exchange as a datagram. */
 export type PeerMessage =
@@ -18,8 +19,11 @@
   /** Limits that instances advertised. */
   | { readonly kind: 'limits'; readonly limits: readonly InstanceLimit[] };
 
-/** Code 3 was a difference between two whole sets of registrations. */
-const MessageCode = { heartbeat: 1, members: 2, changes: 4, limits: 5 } as const;
+/**
+ * Code 3 was a difference between two whole sets of registrations, code 4 had offsets in place of
+ * positions.
+ */
+const MessageCode = { heartbeat: 1, members: 2, limits: 5, changes: 6 } as const;
 
 const PHASES = ['starting', 'ready', 'leaving'] as const;
 
@@ -28,6 +32,8 @@
 /** First byte of a message that is not compressed. */
 const JSON_ARRAY_START = '['.charCodeAt(0);
 
+const toEra = (position: number): number => (position < 0 ? 0 : getEra(position));
+
 /**
  * Encodes fields by position to save bytes: traffic between failure domains costs money, and most
  * of it is heartbeats.
@@ -41,10 +47,13 @@
   Number(status.isStoreFailing),
   Number(status.isReader),
   Math.round(status.storeReadAgeMs),
-  status.operatorRevision,
-  status.instancePosition,
+  // Offsets are sent apart from the eras, as earlier builds do and because large numbers take bytes.
+  toOffset(status.operatorRevision),
+  toOffset(status.instancePosition),
   status.instanceDigest,
   status.configurationVersion,
+  toEra(status.operatorRevision),
+  toEra(status.instancePosition),
 ];
 
 const decodeStatus = (fields: unknown): MemberStatus | undefined => {
@@ -54,7 +63,9 @@
   const phaseName = PHASES[Number(phase)];
   if (callerEndpoint === undefined || phaseName === undefined) return undefined;
   if (!numbers.every((value) => typeof value === 'number')) return undefined;
-  const [isStoreFailing, isReader, storeReadAgeMs, revision, offset, digest, version] = numbers;
+  const [isStoreFailing, isReader, storeReadAgeMs, revision, offset, digest, ...later] = numbers;
+  // Earlier builds send neither the version nor the eras.
+  const [version = NO_VERSION, operatorEra = 0, instanceEra = 0] = later;
   return {
     vmId: String(vmId),
     incarnation: String(incarnation),
@@ -64,11 +75,10 @@
     isStoreFailing: isStoreFailing === 1,
     isReader: isReader === 1,
     storeReadAgeMs: storeReadAgeMs!,
-    operatorRevision: revision!,
-    instancePosition: offset!,
+    operatorRevision: createPosition(operatorEra, revision!),
+    instancePosition: createPosition(instanceEra, offset!),
     instanceDigest: digest!,
-    // Earlier builds do not send the version.
-    configurationVersion: version ?? NO_VERSION,
+    configurationVersion: version,
   };
 };
 
--- a/packages/gatewayDaemon/src/peerNetwork.ts
+++ b/packages/gatewayDaemon/src/peerNetwork.ts
@@ -10,12 +10,18 @@
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 
-import { MAX_PEER_STATE_BYTES, PEER_FETCH_TIMEOUT_MS, SEND_INTERVAL_MS } from './constants.js';
+import {
+  MAX_PEER_STATE_BYTES,
+  NO_VERSION,
+  PEER_FETCH_TIMEOUT_MS,
+  SEND_INTERVAL_MS,
+} from './constants.js';
 import type { OperatorSnapshot } from './controlState.js';
 import type { RegistrySnapshot } from './instanceRegistry.js';
 import { decodeMessage, encodeMessage } from './peerMessages.js';
 import type { PeerMessage } from './peerMessages.js';
 import { decodeSnapshot, encodeSnapshot } from './registrationCodec.js';
+import { toOffset } from './storePosition.js';
 
 /** What a peer knows beyond the versions in a query; parts without news are undefined. */
 export interface PeerState {
@@ -46,7 +52,10 @@
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
 
-const STATE_PATH = '/state/2';
+const STATE_PATH = '/state/3';
+
+/** Path of builds that know offsets of the store, but not its era. */
+const OFFSET_STATE_PATH = '/state/2';
 
 /** Path of builds that replace their whole set of registrations, without offsets. */
 const WHOLE_STATE_PATH = '/state';
@@ -75,6 +84,23 @@
   return { operator, instances: snapshot };
 };
 
+const toOffsetState = ({ operator, instances }: PeerState): PeerState => ({
+  operator: operator && {
+    ...operator,
+    revision: toOffset(operator.revision),
+    nextOffset: toOffset(operator.nextOffset),
+  },
+  instances: instances && {
+    ...instances,
+    nextPosition: toOffset(instances.nextPosition),
+    entries: instances.entries.map((entry) => ({
+      ...entry,
+      recordPosition: toOffset(entry.recordPosition),
+      removedPosition: toOffset(entry.removedPosition),
+    })),
+  },
+});
+
 /**
  * Sends heartbeats and changes as UDP datagrams, and answers requests for missed state over HTTP. Only control messages
  * pass between entry VMs, no callers' requests.
@@ -193,43 +219,64 @@
 
   private async answer(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(message.url ?? '/', 'http://peer');
+    const since = url.searchParams.get('since');
     const operatorRevision = Number(url.searchParams.get('revision') ?? 0);
-    const version = url.searchParams.get('version');
-    // Earlier builds do not send the version; the revision alone decides for them.
-    const configurationVersion = version === null ? Infinity : Number(version);
-    if (url.pathname === WHOLE_STATE_PATH) {
-      this.answerFormerBuild(operatorRevision, response);
-      return;
-    }
-    if (url.pathname !== STATE_PATH) {
-      response.writeHead(HTTP_NOT_FOUND).end();
-      return;
+    switch (url.pathname) {
+      case STATE_PATH: {
+        const state = this.options.createState({
+          operatorRevision,
+          configurationVersion: Number(url.searchParams.get('version') ?? NO_VERSION),
+          instancePosition: since === null ? undefined : Number(since),
+        });
+        await this.sendState(state, since ?? 'start', message, response);
+        return;
+      }
+      case OFFSET_STATE_PATH:
+        await this.sendState(
+          toOffsetState(this.createWholeState(operatorRevision)),
+          'start',
+          message,
+          response,
+        );
+        return;
+      case WHOLE_STATE_PATH:
+        this.answerFormerBuild(operatorRevision, response);
+        return;
+      default:
+        response.writeHead(HTTP_NOT_FOUND).end();
     }
-    const since = url.searchParams.get('since');
-    const { operator, instances } = this.options.createState({
-      operatorRevision,
-      configurationVersion,
-      instancePosition: since === null ? undefined : Number(since),
-    });
+  }
+
+  private async sendState(
+    { operator, instances }: PeerState,
+    since: string,
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     const state = { operator, instances: instances && encodeSnapshot(instances) };
     const data = await compress(JSON.stringify(state));
     this.options.metrics.counter('bronzelift_state_sent_bytes_total').increment(data.length);
     this.options.log.info(LogComponent.log, 'state sent to peer', {
       peer: message.socket.remoteAddress,
-      since: since ?? 'start',
+      since,
       bytes: data.length,
     });
     response.setHeader('connection', 'close');
     response.end(data);
   }
 
-  /** Answers a member of an earlier build, which would otherwise miss all changes of an upgrade. */
-  private answerFormerBuild(operatorRevision: number, response: ServerResponse): void {
-    const { operator, instances } = this.options.createState({
+  /** Creates the state for a member of an earlier build; only its revision counts. */
+  private createWholeState(operatorRevision: number): PeerState {
+    return this.options.createState({
       operatorRevision,
       configurationVersion: Infinity,
       instancePosition: undefined,
     });
+  }
+
+  /** Answers a member of an earlier build, which would otherwise miss all changes of an upgrade. */
+  private answerFormerBuild(operatorRevision: number, response: ServerResponse): void {
+    const { operator, instances } = toOffsetState(this.createWholeState(operatorRevision));
     const records = instances && {
       nextOffset: instances.nextPosition,
       instances: instances.entries.flatMap(({ record }) => record ?? []),
--- a/packages/gatewayDaemon/src/storePosition.ts
+++ b/packages/gatewayDaemon/src/storePosition.ts
@@ -1,5 +1,5 @@
-/** More records than a stream of the store holds during one era. */
-const RECORDS_PER_ERA = 2 ** 32;
+/** More records than a stream of the store receives during one era. */
+const RECORDS_PER_ERA = 2 ** 40;
 
 /**
  * Combines the era of the store and an offset into a position that orders records across eras. A
@@ -14,3 +14,7 @@
 /** Returns the offset of a position within its era. */
 export const getOffset = (position: number): number =>
   position - getEra(position) * RECORDS_PER_ERA;
+
+/** Returns the offset of a position, or the position itself if it is before all records. */
+export const toOffset = (position: number): number =>
+  position < 0 ? position : getOffset(position);
--- a/packages/gatewayDaemon/tests/memberTable.test.ts
+++ b/packages/gatewayDaemon/tests/memberTable.test.ts
@@ -14,6 +14,7 @@
 import { MemberTable } from '../src/memberTable.js';
 import type { MemberStatus } from '../src/memberTable.js';
 import { decodeMessage, encodeChanges, encodeMessage } from '../src/peerMessages.js';
+import { createPosition } from '../src/storePosition.js';
 
 import { createRecord } from './support/createRecord.js';
 
@@ -174,7 +175,22 @@
     const status = createStatus(4, { isReader: true, phase: 'starting', storeReadAgeMs: 17 });
     const messages = [
       { kind: 'heartbeat', status } as const,
+      { kind: 'heartbeat', status: createStatus(5, { instancePosition: -1 }) } as const,
+      {
+        kind: 'heartbeat',
+        status: createStatus(6, {
+          operatorRevision: createPosition(2, 7),
+          instancePosition: createPosition(3, 90),
+        }),
+      } as const,
       { kind: 'members', hosts: ['10.0.0.1'] } as const,
+      {
+        kind: 'limits',
+        limits: [
+          { instanceId: 'i-1', startedAtWallMs: 1, version: 2, maxRequestsPerS: 2.6 },
+          { instanceId: 'i-2', startedAtWallMs: 1, version: 3, maxRequestsPerS: undefined },
+        ],
+      } as const,
     ];
     for (const message of messages) {
       expect(decodeMessage(encodeMessage(message))).to.deep.equal(message);
--- a/packages/gatewayDaemon/tests/peerNetwork.test.ts
+++ b/packages/gatewayDaemon/tests/peerNetwork.test.ts
@@ -1,15 +1,20 @@
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
+import { promisify } from 'node:util';
+import { gunzip } from 'node:zlib';
 
 import { SystemClock, sleep } from '@bronzelift/common';
 import { DecisionLog, Metrics } from '@bronzelift/observability';
 import { expect } from 'chai';
 
 import { NO_POSITION, SEND_INTERVAL_MS } from '../src/constants.js';
+import { createPosition } from '../src/storePosition.js';
 import { PeerNetwork } from '../src/peerNetwork.js';
 import type { PeerNetworkOptions } from '../src/peerNetwork.js';
 import { createRecord } from './support/createRecord.js';
 
+const decompress = promisify(gunzip);
+
 const PORT = 20_170;
 const DATAGRAM_BYTES = 1_000;
 const DATAGRAMS = 100;
@@ -55,6 +60,29 @@
     }
   });
 
+  // Guards against members of an earlier build that take positions for offsets of the store.
+  it('sends members of an earlier build offsets without the era of the store', async () => {
+    const entry = {
+      id: 'x',
+      record: createRecord('x'),
+      recordPosition: createPosition(2, 3),
+      removedPosition: NO_POSITION,
+      retainForMs: 0,
+    };
+    const instances = { nextPosition: createPosition(2, 9), digest: 5, entries: [entry] };
+    const network = createNetwork(() => ({ operator: undefined, instances }));
+    await network.open();
+    try {
+      const response = await fetch(`http://127.0.0.1:${PORT}/state/2?revision=4&since=2`);
+      const data = await decompress(await response.arrayBuffer());
+      const state = JSON.parse(data.toString('utf8'));
+      expect(state.instances.nextOffset).to.equal(9);
+      expect(state.instances.entries[0].slice(0, 3)).to.deep.equal(['x', 3, NO_POSITION]);
+    } finally {
+      network.close();
+    }
+  });
+
   // Guards against changes that most members miss because a burst to all of them exceeds the link
   // of the reader.
   it('spreads the datagrams of a change over the time that the link needs', async () => {
