Use cold instances of services whose cold rate is zero

Cause: the time until a token is available was calculated by dividing by the rate; with a token and a rate of zero it is no number, and the instance counts as not usable.

Change: tokens that are available are granted without a division.

--- a/packages/slots/src/sharedRateLimit.ts
+++ b/packages/slots/src/sharedRateLimit.ts
@@ -60,7 +60,8 @@
   calculateWaitMs(rate: SharedRate, count = 1): number {
     this.refill(rate);
     if (rate.sharers === 0) return Infinity;
-    return Math.max(count - this.tokens, 0) / this.calculateSharePerMs(rate);
+    if (this.tokens >= count) return 0;
+    return (count - this.tokens) / this.calculateSharePerMs(rate);
   }
 
   /** Spends a token, even if none is available. */
