Write store positions in logs and metrics as era and offset

Change: log lines have era:offset, the gauges the offset, and bronzelift_store_era the era; one local variable and three comments say position where they mean one.

Result: storePosition.test.ts and the other tests of the package pass.

--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -26,6 +26,7 @@
 import { encodeChanges } from './peerMessages.js';
 import type { PeerMessage } from './peerMessages.js';
 import { PeerNetwork } from './peerNetwork.js';
+import { formatPosition } from './storePosition.js';
 import { StoreReader } from './storeReader.js';
 import type { ControlStore, GatewaySettings } from './types.js';
 
@@ -202,7 +203,7 @@
     if (entries.length === 0) return;
     this.options.metrics.counter('bronzelift_registration_changes_sent_total').increment();
     this.options.log.info(LogComponent.log, 'changes of registrations sent', {
-      instanceOffset: this.options.state.nextInstancePosition,
+      instanceOffset: formatPosition(this.options.state.nextInstancePosition),
       entries: entries.length,
       datagrams: datagrams.length,
       members: hosts.length,
@@ -326,8 +327,8 @@
     const { state } = this.options;
     if (status.operatorRevision > state.revision) return true;
     if (status.configurationVersion > state.configurationVersion) return true;
-    const ownOffset = state.nextInstancePosition ?? -1;
-    return status.instancePosition > ownOffset && status.instanceDigest !== state.digest;
+    const ownPosition = state.nextInstancePosition ?? -1;
+    return status.instancePosition > ownPosition && status.instanceDigest !== state.digest;
   }
 
   private listMembersAhead(): Member[] {
@@ -348,7 +349,7 @@
       const peer = this.selectMemberAhead(asked);
       if (peer === undefined) break;
       asked.add(peer.status.vmId);
-      // The changes since the own offset suffice, unless an earlier one was missed.
+      // The changes since the own position suffice, unless an earlier one was missed.
       const isWhole = asked.size > MAX_FETCH_ATTEMPTS / 2;
       await this.fetchFrom(peer, isWhole);
     }
@@ -395,8 +396,8 @@
       }
       log.info(LogComponent.log, 'state taken from peer', {
         peer: status.vmId,
-        revision: state.revision,
-        instanceOffset: state.nextInstancePosition,
+        revision: formatPosition(state.revision),
+        instanceOffset: formatPosition(state.nextInstancePosition),
         tookMs: finish('fetched'),
       });
     } catch (error) {
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -30,6 +30,7 @@
 import { RequestHandler } from './requestHandler.js';
 import { ServiceRuntime } from './serviceRuntime.js';
 import { StateGauges } from './stateGauges.js';
+import { formatPosition } from './storePosition.js';
 import type {
   ControlStore,
   GatewayConfiguration,
@@ -106,7 +107,7 @@
       onDomains: (domainsOut) => {
         this.log.info(LogComponent.config, 'failure domains out of service', {
           domains: domainsOut.join(','),
-          revision: this.state.revision,
+          revision: formatPosition(this.state.revision),
         });
       },
       onInstances: (changed, removed, source) => this.applyInstances(changed, removed, source),
@@ -328,7 +329,7 @@
     this.gauges.recordConfigurationChange();
     this.log.info(LogComponent.config, 'configuration in force', {
       version,
-      revision: this.state.revision,
+      revision: formatPosition(this.state.revision),
       routes: routes.length,
     });
     this.control.sendHeartbeat();
--- a/packages/gatewayDaemon/src/instanceRegistry.ts
+++ b/packages/gatewayDaemon/src/instanceRegistry.ts
@@ -150,7 +150,7 @@
     return this.finish(this.mergeEntries(entries));
   }
 
-  /** Merges the entries of another entry VM that changed at this one's offset or later. */
+  /** Merges the entries of another entry VM that changed at this one's position or later. */
   mergeChangesSince({ nextPosition, digest, entries }: RegistrySnapshot): RegistryUpdate {
     const update = this.merge(entries);
     this.advance(nextPosition, digest);
@@ -171,7 +171,7 @@
     return this.finish(new Set([...touched, ...unlisted]));
   }
 
-  /** Advances the offset when another entry VM has the same registrations at a later offset. */
+  /** Advances the position when another entry VM has the same registrations at a later one. */
   advance(nextPosition: number, digest: number): void {
     if (this.currentNextPosition === undefined || digest !== this.currentDigest) return;
     this.currentNextPosition = Math.max(this.currentNextPosition, nextPosition);
--- a/packages/gatewayDaemon/src/stateGauges.ts
+++ b/packages/gatewayDaemon/src/stateGauges.ts
@@ -4,6 +4,7 @@
 import type { ControlPlane } from './controlPlane.js';
 import type { ControlState } from './controlState.js';
 import type { MemberTable } from './memberTable.js';
+import { getEra, toOffset } from './storePosition.js';
 import type { ServiceRuntime } from './serviceRuntime.js';
 
 const MS_PER_S = 1_000;
@@ -71,8 +72,10 @@
       const ageMs = clock.monotonicMs() - this.configurationAtMs;
       metrics.gauge('bronzelift_configuration_age_seconds').set(ageMs / MS_PER_S);
     }
-    metrics.gauge('bronzelift_operator_revision').set(revision);
-    metrics.gauge('bronzelift_instance_list_offset').set(state.nextInstancePosition ?? -1);
+    metrics.gauge('bronzelift_operator_revision').set(toOffset(revision));
+    const position = state.nextInstancePosition ?? -1;
+    metrics.gauge('bronzelift_instance_list_offset').set(toOffset(position));
+    metrics.gauge('bronzelift_store_era').set(getEra(position));
     metrics.gauge('bronzelift_members').set(members.live().length + 1);
     metrics.gauge('bronzelift_store_reader').set(Number(control.isReader));
     metrics.gauge('bronzelift_store_failing').set(Number(members.isOwnStoreFailing));
--- a/packages/gatewayDaemon/src/storePosition.ts
+++ b/packages/gatewayDaemon/src/storePosition.ts
@@ -18,3 +18,7 @@
 /** Returns the offset of a position, or the position itself if it is before all records. */
 export const toOffset = (position: number): number =>
   position < 0 ? position : getOffset(position);
+
+/** Formats a position for the log as era and offset, such as `1:4021`. */
+export const formatPosition = (position: number | undefined): string =>
+  position === undefined || position < 0 ? 'none' : `${getEra(position)}:${getOffset(position)}`;
