Log which requests ran when an instance ended

After an attempt whose connection was lost, the entry VM tries to connect: a refused connection shows that the process has ended. No decision depends on it yet.

--- a/packages/backendClient/src/openSocket.ts
+++ b/packages/backendClient/src/openSocket.ts
@@ -14,6 +14,8 @@
       readonly kind: 'failed';
       readonly reason: 'connect-failed' | 'connect-timeout' | 'cancelled';
       readonly detail: string;
+      /** Error code of the system if the connection failed, for example `ECONNREFUSED`. */
+      readonly errorCode?: string | undefined;
     };
 
 /** Opens a TCP connection within a time limit. Never rejects. */
@@ -48,6 +50,20 @@
       const detail = `no connection within ${timeoutMs} ms`;
       return { kind: 'failed', reason: 'connect-timeout', detail };
     }
-    return { kind: 'failed', reason: 'connect-failed', detail: describeError(error) };
+    const errorCode = (error as NodeJS.ErrnoException).code;
+    return { kind: 'failed', reason: 'connect-failed', detail: describeError(error), errorCode };
   }
 };
+
+/**
+ * Whether the host of an endpoint refuses connections, as it does once the process that listened
+ * there has ended; false if it does not respond in time. Never rejects.
+ */
+export const isConnectionRefused = async (
+  endpoint: Endpoint,
+  timeoutMs: number,
+): Promise<boolean> => {
+  const result = await openSocket(endpoint, timeoutMs, undefined);
+  if (result.kind === 'open') result.socket.destroy();
+  return result.kind === 'failed' && result.errorCode === 'ECONNREFUSED';
+};
--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -389,3 +389,12 @@
 
 /** Maximum number of remembered results of the distribution of instances among members. */
 export const MAX_INSTANCE_SHARER_RESULTS = 4_096;
+
+/** Characters of a request's fingerprint; 22 of base64 are 132 bits. */
+export const FINGERPRINT_LENGTH = 22;
+
+/**
+ * Time within which an instance that has ended refuses a connection: two one-way delays between
+ * failure domains and a margin for load.
+ */
+export const END_CHECK_TIMEOUT_MS = 50;
--- a/packages/gatewayDaemon/src/instanceRuntime.ts
+++ b/packages/gatewayDaemon/src/instanceRuntime.ts
@@ -1,4 +1,4 @@
-import { BackendPool } from '@bronzelift/backend-client';
+import { BackendPool, isConnectionRefused } from '@bronzelift/backend-client';
 import type {
   BackendAttempt,
   BackendDialect,
@@ -19,6 +19,7 @@
 import {
   CONNECTION_IDLE_MS,
   CONNECT_TIMEOUT_MS,
+  END_CHECK_TIMEOUT_MS,
   FAILURE_SHARE_HALF_LIFE_MS,
   FAILURE_SHARE_WEIGHT,
   LIMIT_CHECK_INTERVAL_MS,
@@ -73,6 +74,8 @@
 
   private failureShare = 0;
 
+  private endCheck: Promise<boolean> | undefined;
+
   private failureShareAtMs: number;
 
   private constructor(
@@ -261,6 +264,20 @@
     return attempt;
   }
 
+  /**
+   * Whether the process of the instance has ended, so that its port refuses connections. Requests
+   * that fail together share one check. Never rejects.
+   */
+  hasEnded(): Promise<boolean> {
+    this.endCheck ??= isConnectionRefused(
+      this.currentRecord.endpoint,
+      END_CHECK_TIMEOUT_MS,
+    ).finally(() => {
+      this.endCheck = undefined;
+    });
+    return this.endCheck;
+  }
+
   /** Records a health response; `coldForMs` is undefined if it does not contain the cold state. */
   recordHealth(coldForMs: number | undefined): void {
     this.lastHealthResponseAtMs = this.now();
--- a/packages/gatewayDaemon/src/requestContext.ts
+++ b/packages/gatewayDaemon/src/requestContext.ts
@@ -1,6 +1,7 @@
 import type { BackendAttempt } from '@bronzelift/backend-client';
 import type { InstanceId } from '@bronzelift/common';
 
+import { createRequestFingerprint } from './requestFingerprint.js';
 import type { ServiceRuntime } from './serviceRuntime.js';
 import type { CallerRequest, Route } from './types.js';
 
@@ -26,6 +27,8 @@
 
   private answer: BackendAttempt | undefined;
 
+  private knownFingerprint: string | undefined;
+
   private constructor(private readonly options: RequestContextOptions) {}
 
   static create(options: RequestContextOptions): RequestContext {
@@ -56,6 +59,13 @@
     return this.options.isCallerRetry;
   }
 
+  /** Hash that is the same whenever the caller repeats the request. */
+  get fingerprint(): string {
+    const { request, service } = this.options;
+    this.knownFingerprint ??= createRequestFingerprint(service.name, request);
+    return this.knownFingerprint;
+  }
+
   /** Number of attempts that reached an instance, or may have. */
   get sentAttemptCount(): number {
     return this.sentCount;
--- a/packages/gatewayDaemon/src/requestHandler.ts
+++ b/packages/gatewayDaemon/src/requestHandler.ts
@@ -22,6 +22,7 @@
 } from './constants.js';
 import type { ControlState } from './controlState.js';
 import type { FoundInstance, InstanceFinder, SearchFailure } from './instanceFinder.js';
+import type { InstanceRuntime } from './instanceRuntime.js';
 import type { Prober } from './prober.js';
 import { RequestLog } from './requestLog.js';
 import type { ServiceRuntime } from './serviceRuntime.js';
@@ -51,6 +52,11 @@
 const isConnectFailure = (reason: string): boolean =>
   reason === 'connect-failed' || reason === 'connect-timeout';
 
+/** Whether the connection of an attempt was lost before the whole response had arrived. */
+const isConnectionLost = (attempt: BackendAttempt): boolean =>
+  attempt.kind === 'failed-after-send' &&
+  (attempt.reason === 'reset' || attempt.reason === 'cut-short');
+
 const isServerError = (attempt: BackendAttempt): boolean =>
   attempt.kind === 'answered' && attempt.response.status >= 500;
 
@@ -184,6 +190,9 @@
     );
     found.release();
     context.recordAttempt(attempt);
+    if (isConnectionLost(attempt) && (await instance.hasEnded())) {
+      this.recordInstanceEnd(context, instance);
+    }
     this.recordOutcome(context, { attempt, found });
     handle.end(
       isServerError(attempt) && !route.isIdempotent
@@ -193,6 +202,15 @@
     return { attempt, found };
   }
 
+  /** Records that an instance has ended while it ran a request. */
+  private recordInstanceEnd(context: RequestContext, instance: InstanceRuntime): void {
+    const { service, fingerprint } = context;
+    this.requestLog.instanceEnded(context, instance.id, fingerprint);
+    this.options.metrics
+      .counter('bronzelift_runs_ended_by_crash_total', { service: service.name })
+      .increment();
+  }
+
   private toBackendRequest(
     { request, deadlineAtMs }: RequestContext,
     expectedInstanceId: InstanceId,
--- a/packages/gatewayDaemon/src/requestLog.ts
+++ b/packages/gatewayDaemon/src/requestLog.ts
@@ -61,6 +61,21 @@
     });
   }
 
+  /** Logs that an instance has ended while it ran a request. */
+  instanceEnded(
+    { request, route, service }: RequestContext,
+    instanceId: string,
+    fingerprint: string,
+  ): void {
+    this.log.info(LogComponent.backend, 'instance ended during a request', {
+      request: request.requestId,
+      route: route.name,
+      service: service.name,
+      instance: instanceId,
+      fingerprint,
+    });
+  }
+
   /** Logs the refusal of a request that no instance has run. */
   refused(
     { request, route, service, deadlineAtMs }: RequestContext,
