Stop sending requests that crash the instances that run them

Cause: each attempt was judged alone. A retry after a lost connection goes to the next instance, and the same request of the same caller is new to each entry VM. A failure that the request itself causes is so taken for one of the instance.

Change: entry VMs tell each other which requests were present when an instance process ended. A request that was present at three ends and was completed nowhere meanwhile is refused at once with 503 by all members, for 24 h; after a second crash it is not retried. Completions and instances that respond withdraw the accusation. Quarantines are compared by digest with heartbeats and kept in the store.

--- a/packages/admission/src/constants.ts
+++ b/packages/admission/src/constants.ts
@@ -45,3 +45,33 @@
 
 /** Maximum number of lookups displaced when an order joins the queue. */
 export const MAX_DISPLACED_PER_ORDER = 2;
+
+/** Crashes of instances at which a request has to be present to be no longer sent to instances. */
+export const CRASHES_TO_QUARANTINE = 3;
+
+/** Crashes after which a request is not sent to another instance when its next one crashes. */
+export const CRASHES_TO_SUSPECT = 2;
+
+/**
+ * Time in which a response of an instance shows that it has not ended. Instances that have ended
+ * need longer to start again.
+ */
+export const END_DISPUTE_MS = 1_000;
+
+/** A request that was completed within this time does not crash the instances that run it. */
+export const COMPLETION_MEMORY_MS = 10_000;
+
+/** Time for which a request is not sent to instances after it has crashed several. */
+export const QUARANTINE_MS = 86_400_000;
+
+/** Remembered requests that were present at a crash. */
+export const MAX_SUSPECTS = 1_024;
+
+/** Remembered crashes of one request; more than are needed, since some may be disputed. */
+export const MAX_CRASHES_PER_REQUEST = 8;
+
+/** Remembered completions of requests. */
+export const MAX_COMPLETIONS = 8_192;
+
+/** Requests in quarantine; each costs instances, so that more are hardly to be had. */
+export const MAX_QUARANTINES = 256;
--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -398,3 +398,24 @@
  * failure domains and a margin for load.
  */
 export const END_CHECK_TIMEOUT_MS = 50;
+
+/** Further times that a report of a crash is sent, since datagrams may be lost. */
+export const CRASH_REPORT_RESENDS = 2;
+
+/** Reports of crashes in one message, so that it fits into a datagram. */
+export const CRASH_REPORTS_PER_MESSAGE = 16;
+
+/** Quarantines in one message, so that it fits into a datagram. */
+export const QUARANTINES_PER_MESSAGE = 24;
+
+/** Digest of the quarantined requests that members of earlier builds do not send. */
+export const NO_DIGEST = -1;
+
+/** Delay before quarantines are exchanged with the store again after a failed call. */
+export const QUARANTINE_STORE_RETRY_MS = 5_000;
+
+/**
+ * Retry-After of a quarantined request. Its caller would not be served earlier than the quarantine
+ * ends, or by another request.
+ */
+export const QUARANTINE_RETRY_AFTER_MS = 60_000;
--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -14,11 +14,14 @@
   MIN_FETCH_DELAY_MS,
   MISSED_CHANGES_LIMIT_MS,
   NEVER_READ_AGE_MS,
+  NO_DIGEST,
   PEER_STATE_WAIT_MS,
+  QUARANTINES_PER_MESSAGE,
   READER_LOST_MS,
   SEND_INTERVAL_MS,
 } from './constants.js';
 import type { ControlState } from './controlState.js';
+import type { CrashGuard } from './crashGuard.js';
 import type { RegistrationEntry } from './instanceRegistry.js';
 import type { InstanceLimit, LimitExchange } from './limitExchange.js';
 import type { Member, MemberStatus, MemberTable } from './memberTable.js';
@@ -27,6 +30,7 @@
 import type { PeerMessage } from './peerMessages.js';
 import { PeerNetwork } from './peerNetwork.js';
 import { formatPosition } from './storePosition.js';
+import { QuarantineStore } from './quarantineStore.js';
 import { StoreReader } from './storeReader.js';
 import type { ControlStore, GatewaySettings } from './types.js';
 
@@ -44,6 +48,7 @@
   readonly state: ControlState;
   readonly members: MemberTable;
   readonly limits: LimitExchange;
+  readonly crashes: CrashGuard;
   readonly ownStatus: () => MemberStatus;
 }
 
@@ -59,6 +64,10 @@
 
   private readonly outages = OutageTracker.create();
 
+  private readonly quarantines: QuarantineStore;
+
+  private quarantineQueryAtMs = -Infinity;
+
   private readonly stopped = new AbortController();
 
   /** Aborted to search the store for members at once. */
@@ -92,6 +101,7 @@
             : state.listInstanceChangesSince(instancePosition),
       }),
     });
+    this.quarantines = QuarantineStore.create({ clock, log, store, guard: options.crashes });
     this.reader = StoreReader.create({
       clock,
       random: options.random,
@@ -105,7 +115,10 @@
       isAnyStoreFailing: () => members.isAnyStoreFailing(),
       onInstancesRead: (changes) => this.publishChanges(changes),
       onOperatorChange: () => this.sendHeartbeat(),
-      onRestored: () => this.memberSearchPause.abort(),
+      onRestored: () => {
+        this.quarantines.reset();
+        this.memberSearchPause.abort();
+      },
     });
   }
 
@@ -148,6 +161,11 @@
     }
   }
 
+  /** Sends a message to all members. */
+  sendToMembers(message: PeerMessage): void {
+    this.network.send(this.listPeerHosts(), message);
+  }
+
   /** Stops all tasks and closes the peer ports and the connections to the store. */
   stop(): void {
     this.stopped.abort();
@@ -161,6 +179,7 @@
     await sleep(PEER_STATE_WAIT_MS, this.stopped.signal);
     this.isWaitingForPeers = false;
     this.reader.start();
+    this.syncQuarantines();
   }
 
   private shouldRead(): boolean {
@@ -210,12 +229,37 @@
     });
   }
 
+  private syncQuarantines(): void {
+    const isAlone = !this.isWaitingForPeers && this.options.members.live().length === 0;
+    if (this.isReader || isAlone) this.quarantines.sync();
+  }
+
+  private sendQuarantines(host: string): void {
+    const quarantines = this.options.crashes.listQuarantines();
+    for (let index = 0; index < quarantines.length; index += QUARANTINES_PER_MESSAGE) {
+      const part = quarantines.slice(index, index + QUARANTINES_PER_MESSAGE);
+      this.network.send([host], { kind: 'quarantines', quarantines: part });
+    }
+  }
+
+  /** Asks a member that knows other quarantined requests, one member per heartbeat interval. */
+  private compareQuarantines({ quarantineDigest }: MemberStatus, host: string): void {
+    const { crashes, clock } = this.options;
+    if (quarantineDigest === NO_DIGEST || quarantineDigest === crashes.digest) return;
+    const nowMs = clock.monotonicMs();
+    if (nowMs - this.quarantineQueryAtMs < HEARTBEAT_INTERVAL_MS) return;
+    this.quarantineQueryAtMs = nowMs;
+    this.network.send([host], { kind: 'quarantine-query' });
+  }
+
   private async runHeartbeats(): Promise<void> {
     const { signal } = this.stopped;
     const { state, members, log } = this.options;
     while (!signal.aborted) {
       this.sendHeartbeat();
       this.sendLimits(this.options.limits.takeDue());
+      this.options.crashes.update();
+      this.syncQuarantines();
       state.removeExpired();
       for (const { status } of members.removeLost()) {
         log.info(LogComponent.member, 'member forgotten', { member: status.vmId });
@@ -280,6 +324,15 @@
       case 'limits':
         this.options.limits.merge(message.limits);
         return;
+      case 'crashes':
+        this.options.crashes.merge(message.evidence);
+        return;
+      case 'quarantines':
+        this.options.crashes.addQuarantines(message.quarantines, 'peer');
+        return;
+      case 'quarantine-query':
+        this.sendQuarantines(fromHost);
+        return;
       default:
         assertNever(message);
     }
@@ -307,7 +360,9 @@
         this.network.send([fromHost], { kind: 'members', hosts: part });
       }
       this.sendLimits(this.options.limits.listObservedLimits(), [fromHost]);
+      this.sendQuarantines(fromHost);
     }
+    this.compareQuarantines(status, fromHost);
     state.advanceInstancePosition(status.instancePosition, status.instanceDigest);
     if (!this.isBehind(status)) return;
     this.behindSinceMs ??= this.options.clock.monotonicMs();
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -19,6 +19,7 @@
 import { ControlPlane } from './controlPlane.js';
 import { ControlState } from './controlState.js';
 import type { InstanceChangeSource } from './controlState.js';
+import { CrashGuard } from './crashGuard.js';
 import { createDirectoryServer, createReadinessServer } from './directoryServer.js';
 import { CallerServer } from './callerServer.js';
 import { InstanceFinder } from './instanceFinder.js';
@@ -86,6 +87,8 @@
 
   private readonly limits: LimitExchange;
 
+  private readonly crashes: CrashGuard;
+
   private readonly control: ControlPlane;
 
   private readonly gauges: StateGauges;
@@ -133,6 +136,12 @@
       findInstance: (id) => this.findInstance(id),
       listInstances: () => [...this.services.values()].flatMap(({ instances }) => [...instances]),
     });
+    this.crashes = CrashGuard.create({
+      clock,
+      log: this.log,
+      metrics: this.metrics,
+      send: (message) => this.control.sendToMembers(message),
+    });
     this.control = ControlPlane.create({
       clock,
       random,
@@ -143,6 +152,7 @@
       state: this.state,
       members: this.members,
       limits: this.limits,
+      crashes: this.crashes,
       ownStatus: () => this.ownStatus(),
     });
     this.gauges = StateGauges.create({
@@ -282,6 +292,7 @@
       configurationVersion: this.state.configurationVersion,
       instancePosition: this.state.nextInstancePosition ?? -1,
       instanceDigest: this.state.digest,
+      quarantineDigest: this.crashes.digest,
     };
   }
 
@@ -307,6 +318,7 @@
       state,
       finder,
       prober,
+      crashes: this.crashes,
       findService: (name) => this.services.get(name),
     });
   }
@@ -388,6 +400,7 @@
       onViolation: (invariant, detail) => {
         this.log.error(LogComponent.invariant, invariant, { detail });
       },
+      onResponse: (instance, sentAtMs) => this.crashes.recordResponse(instance, sentAtMs),
       onLimitChange: (instance) => {
         this.control.sendLimits([this.limits.recordChange(instance)]);
       },
--- a/packages/gatewayDaemon/src/instanceRuntime.ts
+++ b/packages/gatewayDaemon/src/instanceRuntime.ts
@@ -37,6 +37,8 @@
   /** Limits the bytes of responses that the process buffers. */
   readonly bufferBudget: BufferBudget;
   readonly onViolation: (name: 'whole-answer', detail: string) => void;
+  /** Called for each response with the monotonic time at which its request was sent. */
+  readonly onResponse: (instance: InstanceRuntime, sentAtMs: number) => void;
   /** Called when a response of the instance begins, changes or ends a limit on its requests. */
   readonly onLimitChange: (instance: InstanceRuntime) => void;
 }
@@ -257,6 +259,7 @@
     const attempt = await this.pool.send(request, acquired.connection, signal);
     if (attempt.kind === 'answered' || attempt.kind === 'refused') {
       this.lastResponseAtMs = this.now();
+      this.options.onResponse(this, startedAtMs);
       this.recordLoad(attempt.response.load);
       const isProbe = request.requestId === PROBE_REQUEST_ID;
       this.recordLimit(attempt.response.load.maxRequestsPerS, startedAtMs, isProbe);
--- a/packages/gatewayDaemon/src/memberTable.ts
+++ b/packages/gatewayDaemon/src/memberTable.ts
@@ -38,6 +38,8 @@
   readonly configurationVersion: number;
   readonly instancePosition: number;
   readonly instanceDigest: number;
+  /** Digest of the quarantined requests; NO_DIGEST from earlier builds. */
+  readonly quarantineDigest: number;
 }
 
 /** The part of this entry VM's own status that the table uses. */
--- a/packages/gatewayDaemon/src/peerMessages.ts
+++ b/packages/gatewayDaemon/src/peerMessages.ts
@@ -1,8 +1,10 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib';
 
+import type { CrashReport, Quarantine } from '@bronzelift/admission';
 import { assertNever, formatEndpoint, parseEndpoint } from '@bronzelift/common';
 
-import { MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES, NO_VERSION } from './constants.js';
+import { MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES, NO_DIGEST, NO_VERSION } from './constants.js';
+import type { CrashEvidence } from './crashGuard.js';
 import type { RegistrationEntry } from './instanceRegistry.js';
 import type { InstanceLimit } from './limitExchange.js';
 import type { MemberStatus } from './memberTable.js';
@@ -17,13 +19,27 @@
   /** Changed registrations; some of those that changed together. */
   | { readonly kind: 'changes'; readonly entries: readonly RegistrationEntry[] }
   /** Limits that instances advertised. */
-  | { readonly kind: 'limits'; readonly limits: readonly InstanceLimit[] };
+  | { readonly kind: 'limits'; readonly limits: readonly InstanceLimit[] }
+  /** Evidence on requests that were present when instances ended. */
+  | { readonly kind: 'crashes'; readonly evidence: CrashEvidence }
+  /** Requests that are no longer sent to instances. */
+  | { readonly kind: 'quarantines'; readonly quarantines: readonly Quarantine[] }
+  /** Asks the receiver for its quarantines. */
+  | { readonly kind: 'quarantine-query' };
 
 /**
  * Code 3 was a difference between two whole sets of registrations, code 4 had offsets in place of
  * positions.
  */
-const MessageCode = { heartbeat: 1, members: 2, limits: 5, changes: 6 } as const;
+const MessageCode = {
+  heartbeat: 1,
+  members: 2,
+  limits: 5,
+  changes: 6,
+  crashes: 7,
+  quarantines: 8,
+  quarantineQuery: 9,
+} as const;
 
 const PHASES = ['starting', 'ready', 'leaving'] as const;
 
@@ -54,6 +70,7 @@
   status.configurationVersion,
   toEra(status.operatorRevision),
   toEra(status.instancePosition),
+  status.quarantineDigest,
 ];
 
 const decodeStatus = (fields: unknown): MemberStatus | undefined => {
@@ -64,8 +81,8 @@
   if (callerEndpoint === undefined || phaseName === undefined) return undefined;
   if (!numbers.every((value) => typeof value === 'number')) return undefined;
   const [isStoreFailing, isReader, storeReadAgeMs, revision, offset, digest, ...later] = numbers;
-  // Earlier builds send neither the version nor the eras.
-  const [version = NO_VERSION, operatorEra = 0, instanceEra = 0] = later;
+  // Earlier builds do not send all of these.
+  const [version = NO_VERSION, operatorEra = 0, instanceEra = 0, quarantines = NO_DIGEST] = later;
   return {
     vmId: String(vmId),
     incarnation: String(incarnation),
@@ -79,6 +96,7 @@
     instancePosition: createPosition(instanceEra, offset!),
     instanceDigest: digest!,
     configurationVersion: version,
+    quarantineDigest: quarantines,
   };
 };
 
@@ -98,6 +116,38 @@
   return { instanceId, startedAtWallMs, version, maxRequestsPerS: maxRequestsPerS ?? undefined };
 };
 
+const encodeEvidence = ({ crashes, aliveProcesses, completed }: CrashEvidence): unknown => [
+  crashes.map(({ fingerprint, instanceProcess }) => [fingerprint, instanceProcess]),
+  aliveProcesses,
+  completed,
+];
+
+const decodeTexts = (fields: unknown): string[] =>
+  Array.isArray(fields) ? fields.filter((field) => typeof field === 'string') : [];
+
+const decodeReport = (fields: unknown): CrashReport | undefined => {
+  const [fingerprint, instanceProcess] = decodeTexts(fields);
+  if (fingerprint === undefined || instanceProcess === undefined) return undefined;
+  return { fingerprint, instanceProcess };
+};
+
+const decodeEvidence = ([
+  crashes,
+  aliveProcesses,
+  completed,
+]: readonly unknown[]): CrashEvidence => ({
+  crashes: Array.isArray(crashes) ? crashes.flatMap((fields) => decodeReport(fields) ?? []) : [],
+  aliveProcesses: decodeTexts(aliveProcesses),
+  completed: decodeTexts(completed),
+});
+
+const decodeQuarantine = (fields: unknown): Quarantine | undefined => {
+  if (!Array.isArray(fields)) return undefined;
+  const [fingerprint, untilWallMs] = fields as unknown[];
+  if (typeof fingerprint !== 'string' || typeof untilWallMs !== 'number') return undefined;
+  return { fingerprint, untilWallMs };
+};
+
 /** Encodes a message as the bytes of a datagram. */
 export const encodeMessage = (message: PeerMessage): Buffer => {
   switch (message.kind) {
@@ -112,6 +162,17 @@
       );
     case 'limits':
       return Buffer.from(JSON.stringify([MessageCode.limits, message.limits.map(encodeLimit)]));
+    case 'crashes':
+      return Buffer.from(JSON.stringify([MessageCode.crashes, encodeEvidence(message.evidence)]));
+    case 'quarantines': {
+      const rows = message.quarantines.map(({ fingerprint, untilWallMs }) => [
+        fingerprint,
+        Math.round(untilWallMs),
+      ]);
+      return Buffer.from(JSON.stringify([MessageCode.quarantines, rows]));
+    }
+    case 'quarantine-query':
+      return Buffer.from(JSON.stringify([MessageCode.quarantineQuery]));
     default:
       return assertNever(message);
   }
@@ -151,6 +212,14 @@
   if (code === MessageCode.limits && Array.isArray(first)) {
     return { kind: 'limits', limits: first.flatMap((limit) => decodeLimit(limit) ?? []) };
   }
+  if (code === MessageCode.crashes && Array.isArray(first)) {
+    return { kind: 'crashes', evidence: decodeEvidence(first) };
+  }
+  if (code === MessageCode.quarantines && Array.isArray(first)) {
+    const quarantines = first.flatMap((entry) => decodeQuarantine(entry) ?? []);
+    return { kind: 'quarantines', quarantines };
+  }
+  if (code === MessageCode.quarantineQuery) return { kind: 'quarantine-query' };
   if (code !== MessageCode.heartbeat) return undefined;
   const status = decodeStatus(first);
   return status === undefined ? undefined : { kind: 'heartbeat', status };
--- a/packages/gatewayDaemon/src/requestHandler.ts
+++ b/packages/gatewayDaemon/src/requestHandler.ts
@@ -13,6 +13,7 @@
   MAX_TRIED_INSTANCES,
   MIN_REMAINING_SHARE,
   PROBE_WAIT_MS,
+  QUARANTINE_RETRY_AFTER_MS,
   RETRY_AFTER_MIN_SHARE,
   RETRY_AFTER_MAX_SHARE,
   RETRY_AFTER_WITHOUT_STATE_MS,
@@ -21,6 +22,7 @@
   MAX_SLOW_INSTANCE_UTILIZATION,
 } from './constants.js';
 import type { ControlState } from './controlState.js';
+import type { CrashGuard } from './crashGuard.js';
 import type { FoundInstance, InstanceFinder, SearchFailure } from './instanceFinder.js';
 import type { InstanceRuntime } from './instanceRuntime.js';
 import type { Prober } from './prober.js';
@@ -38,6 +40,7 @@
   readonly state: ControlState;
   readonly finder: InstanceFinder;
   readonly prober: Prober;
+  readonly crashes: CrashGuard;
   readonly findService: (name: ServiceName) => ServiceRuntime | undefined;
 }
 
@@ -97,6 +100,7 @@
       objectiveAtMs: request.arrivedAtMs + route.latencyObjectiveMs - earlierWaitMs,
       isCallerRetry: earlierWaitMs > 0,
     });
+    if (this.isQuarantined(context)) return this.answerQuarantined(context);
     return this.run(context);
   }
 
@@ -120,6 +124,11 @@
       const acceptsSlow = context.service.utilization < MAX_SLOW_INSTANCE_UTILIZATION;
       const found = await this.search(context, searchMs, acceptsSlow);
       if (typeof found === 'string') return this.answerSearchFailure(context, found);
+      // Another entry VM may have reported a crash during the search.
+      if (this.isQuarantined(context)) {
+        found.release();
+        return this.answerQuarantined(context);
+      }
       if (this.hasTooLittleTime(context)) {
         found.release();
         return this.endWithoutSend(context);
@@ -135,6 +144,21 @@
     }
   }
 
+  private isQuarantined({ fingerprint }: RequestContext): boolean {
+    return this.options.crashes.judge(fingerprint) === 'quarantined';
+  }
+
+  private answerQuarantined(context: RequestContext): GatewayAnswer {
+    if (context.mayHaveRun) return this.fail(context, 'instance-failed');
+    this.requestLog.refused(context, 'quarantined', QUARANTINE_RETRY_AFTER_MS, this.now());
+    this.count(context, 'refused-quarantined');
+    return {
+      kind: 'refused',
+      reason: 'quarantined',
+      retryAfterMs: QUARANTINE_RETRY_AFTER_MS,
+    };
+  }
+
   /** Searches for an instance; searches that have to queue run in order of priority. */
   private async search(
     context: RequestContext,
@@ -190,6 +214,9 @@
     );
     found.release();
     context.recordAttempt(attempt);
+    if (attempt.kind === 'answered' && !isServerError(attempt)) {
+      this.options.crashes.recordCompletion(context.fingerprint);
+    }
     if (isConnectionLost(attempt) && (await instance.hasEnded())) {
       this.recordInstanceEnd(context, instance);
     }
@@ -206,6 +233,7 @@
   private recordInstanceEnd(context: RequestContext, instance: InstanceRuntime): void {
     const { service, fingerprint } = context;
     this.requestLog.instanceEnded(context, instance.id, fingerprint);
+    this.options.crashes.recordCrash(fingerprint, instance);
     this.options.metrics
       .counter('bronzelift_runs_ended_by_crash_total', { service: service.name })
       .increment();
@@ -345,9 +373,11 @@
     { attempt, found }: EndedAttempt,
   ): GatewayAnswer | 'retry' {
     const { request, route, service } = context;
+    const { crashes } = this.options;
     const hasAttemptsLeft =
       context.sentAttemptCount < route.maxAttempts &&
-      context.triedInstances.size < MAX_TRIED_INSTANCES;
+      context.triedInstances.size < MAX_TRIED_INSTANCES &&
+      (!isConnectionLost(attempt) || crashes.judge(context.fingerprint) === 'unsuspected');
     const isRetryable = isServerError(attempt) && route.isIdempotent && hasAttemptsLeft;
     const outcome = isRetryable ? ({ kind: 'failed-after-send' } as const) : attempt;
     const decision = decideRetry(outcome, {
--- a/packages/gatewayDaemon/src/serviceRuntime.ts
+++ b/packages/gatewayDaemon/src/serviceRuntime.ts
@@ -50,6 +50,8 @@
    */
   readonly countInstanceSharers: (record: InstanceRecord, maxSharers: number) => number;
   readonly onViolation: (name: 'whole-answer', detail: string) => void;
+  /** Called for each response with the monotonic time at which its request was sent. */
+  readonly onResponse: (instance: InstanceRuntime, sentAtMs: number) => void;
   /** Called when a response of an instance begins, changes or ends a limit on its requests. */
   readonly onLimitChange: (instance: InstanceRuntime) => void;
 }
@@ -167,13 +169,14 @@
       return;
     }
     former?.close();
-    const { clock, dialect, bufferBudget, onViolation, onLimitChange } = this.options;
+    const { clock, dialect, bufferBudget, onViolation, onResponse, onLimitChange } = this.options;
     const runtime = InstanceRuntime.create(record, {
       clock,
       dialect,
       bufferBudget,
       maxConnections: this.calculateConnectionShare(),
       onViolation,
+      onResponse,
       onLimitChange,
     });
     this.instancesById.set(record.id, runtime);
--- a/packages/gatewayDaemon/src/types.ts
+++ b/packages/gatewayDaemon/src/types.ts
@@ -1,5 +1,6 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
 
+import type { Quarantine } from '@bronzelift/admission';
 import type { Endpoint, FailureDomainId, InstanceId, ServiceName, VmId } from '@bronzelift/common';
 import type { SplitPart } from '@bronzelift/routing';
 
@@ -122,6 +123,12 @@
   readonly readInstances: (offset: number) => Promise<StreamRead<InstanceChange>>;
   readonly recordMembers: (members: readonly MemberRecord[]) => Promise<void>;
   readonly readMembers: () => Promise<readonly MemberRecord[]>;
+  /** Records quarantined requests, and removes those with the given fingerprints. */
+  readonly recordQuarantines: (
+    quarantines: readonly Quarantine[],
+    ended: readonly string[],
+  ) => Promise<void>;
+  readonly readQuarantines: () => Promise<readonly Quarantine[]>;
   readonly close: () => void;
 }
 
@@ -141,7 +148,8 @@
 }
 
 /** Why a request is refused. In each case no instance has run it or will run it. */
-export type RefusalReason = 'no-state' | 'no-instance' | 'overloaded' | 'shed' | 'expired';
+export type RefusalReason =
+  'no-state' | 'no-instance' | 'overloaded' | 'shed' | 'expired' | 'quarantined';
 
 /** Why a request failed although an instance may have run it. */
 export type FailureReason = 'timeout' | 'instance-failed' | 'caller-gone' | 'too-large';
--- a/packages/gatewayDaemon/tests/limitSharing.test.ts
+++ b/packages/gatewayDaemon/tests/limitSharing.test.ts
@@ -36,6 +36,7 @@
     configurationVersion: 1,
     instancePosition: 1,
     instanceDigest: 1,
+    quarantineDigest: 1,
   };
   const random = SeededRandom.create(index);
   const table = MemberTable.create({
@@ -62,6 +63,7 @@
     countInstanceSharers: ({ id, failureDomainId }, maxSharers) =>
       table.countInstanceSharers(id, failureDomainId, maxSharers),
     onViolation: () => {},
+    onResponse: () => {},
     onLimitChange: () => {},
   });
   service.setInstance(createRecord('i-1'));
--- a/packages/gatewayDaemon/tests/memberTable.test.ts
+++ b/packages/gatewayDaemon/tests/memberTable.test.ts
@@ -34,6 +34,7 @@
   configurationVersion: 1,
   instancePosition: 1,
   instanceDigest: 1,
+  quarantineDigest: 1,
   ...fields,
 });
 
--- a/packages/gatewayDaemon/tests/serviceRuntime.test.ts
+++ b/packages/gatewayDaemon/tests/serviceRuntime.test.ts
@@ -28,6 +28,7 @@
     countSharers: () => sharers,
     countInstanceSharers: () => 1,
     onViolation: () => {},
+    onResponse: () => {},
     onLimitChange: () => {},
   });
 
