Log when a member ceases to reach the instances of a service

The log of a member had each failed probe, but not that no instance responded any more. Attempts and probes now feed a state per service, reached, impaired or unreached, whose changes are logged and shown as a gauge. No decision depends on it yet.

--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -400,6 +400,7 @@
       onViolation: (invariant, detail) => {
         this.log.error(LogComponent.invariant, invariant, { detail });
       },
+      onReachabilityChange: () => {},
       onResponse: (instance, sentAtMs) => this.crashes.recordResponse(instance, sentAtMs),
       onLimitChange: (instance) => {
         this.control.sendLimits([this.limits.recordChange(instance)]);
--- a/packages/gatewayDaemon/src/instanceRuntime.ts
+++ b/packages/gatewayDaemon/src/instanceRuntime.ts
@@ -7,7 +7,7 @@
 } from '@bronzelift/backend-client';
 import type { Clock } from '@bronzelift/common';
 import { LearnedSlowdown } from '@bronzelift/routing';
-import type { LoadReport, PlacementCandidate } from '@bronzelift/routing';
+import type { LoadReport, PlacementCandidate, ReachabilityEvidence } from '@bronzelift/routing';
 import {
   ADVERTISED_RATE_DIVISION,
   AdvertisedLimit,
@@ -39,10 +39,17 @@
   readonly onViolation: (name: 'whole-answer', detail: string) => void;
   /** Called for each response with the monotonic time at which its request was sent. */
   readonly onResponse: (instance: InstanceRuntime, sentAtMs: number) => void;
+  /** Called with what each attempt shows of the way to the instance. */
+  readonly onEvidence: (instance: InstanceRuntime, evidence: ReachabilityEvidence) => void;
   /** Called when a response of the instance begins, changes or ends a limit on its requests. */
   readonly onLimitChange: (instance: InstanceRuntime) => void;
 }
 
+/** Whether an attempt ended without a byte of a response, other than by its sender. */
+const isUnanswered = (attempt: BackendAttempt): boolean =>
+  attempt.kind === 'failed-after-send' &&
+  (attempt.reason === 'timeout' || attempt.reason === 'reset');
+
 /**
  * State of one instance in this entry VM: connections, latest load report, slowdown, health and
  * cold state.
@@ -254,15 +261,21 @@
     const acquired = await this.pool.acquire(need, signal);
     if (acquired.kind === 'not-available') {
       const durationMs = this.now() - startedAtMs;
+      if (acquired.reason === 'connect-failed' || acquired.reason === 'connect-timeout') {
+        this.options.onEvidence(this, 'connect-failed');
+      }
       return { kind: 'not-sent', reason: acquired.reason, detail: acquired.detail, durationMs };
     }
     const attempt = await this.pool.send(request, acquired.connection, signal);
     if (attempt.kind === 'answered' || attempt.kind === 'refused') {
       this.lastResponseAtMs = this.now();
+      this.options.onEvidence(this, acquired.isNew ? 'response-on-new-connection' : 'response');
       this.options.onResponse(this, startedAtMs);
       this.recordLoad(attempt.response.load);
       const isProbe = request.requestId === PROBE_REQUEST_ID;
       this.recordLimit(attempt.response.load.maxRequestsPerS, startedAtMs, isProbe);
+    } else if (isUnanswered(attempt)) {
+      this.options.onEvidence(this, 'no-response');
     }
     return attempt;
   }
--- a/packages/gatewayDaemon/src/serviceRuntime.ts
+++ b/packages/gatewayDaemon/src/serviceRuntime.ts
@@ -5,8 +5,8 @@
 import type { Clock, InstanceId, RandomSource } from '@bronzelift/common';
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
-import { InstanceSelector, RetryBudget, MeanSlowdown } from '@bronzelift/routing';
-import type { EjectionChange } from '@bronzelift/routing';
+import { InstanceSelector, MeanSlowdown, Reachability, RetryBudget } from '@bronzelift/routing';
+import type { EjectionChange, ReachabilityState } from '@bronzelift/routing';
 import {
   ADVERTISED_RATE_PER_SHARER,
   COLD_RATE_PER_SHARER,
@@ -52,6 +52,8 @@
   readonly onViolation: (name: 'whole-answer', detail: string) => void;
   /** Called for each response with the monotonic time at which its request was sent. */
   readonly onResponse: (instance: InstanceRuntime, sentAtMs: number) => void;
+  /** Called when this entry VM begins or ceases to reach the instances of the service. */
+  readonly onReachabilityChange: (service: ServiceRuntime) => void;
   /** Called when a response of an instance begins, changes or ends a limit on its requests. */
   readonly onLimitChange: (instance: InstanceRuntime) => void;
 }
@@ -72,6 +74,10 @@
 
   private readonly instancesById = new Map<InstanceId, InstanceRuntime>();
 
+  private readonly reachability: Reachability;
+
+  private knownReachability: ReachabilityState = 'reached';
+
   private readonly retryBudget: RetryBudget;
 
   private readonly probeLimit: SharedRateLimit;
@@ -103,6 +109,7 @@
       onEjectionChange: (change) => this.logEjection(change),
     });
     this.refusals = RetryAfterEstimator.create(clock, random);
+    this.reachability = Reachability.create(clock, () => this.instancesById.size);
     this.probeLimit = SharedRateLimit.create(clock, PROBE_RATE_DIVISION);
     this.retryBudget = RetryBudget.create(
       options.bounds.retryRatio * RETRY_RATIO_SHARE,
@@ -154,6 +161,25 @@
     return this.instancesById.values();
   }
 
+  /** Whether this entry VM reaches the instances. */
+  get reachabilityState(): ReachabilityState {
+    return this.reachability.state;
+  }
+
+  /** Detects a change of reachability, also one by the time that has passed. */
+  updateReachability(): void {
+    const { state } = this.reachability;
+    if (state === this.knownReachability) return;
+    this.options.log.warn(LogComponent.route, 'reachability of instances changed', {
+      service: this.name,
+      from: this.knownReachability,
+      to: state,
+      instances: this.instancesById.size,
+    });
+    this.knownReachability = state;
+    this.options.onReachabilityChange(this);
+  }
+
   /** Finds a registered instance. */
   find(id: InstanceId): InstanceRuntime | undefined {
     return this.instancesById.get(id);
@@ -178,6 +204,11 @@
       onViolation,
       onResponse,
       onLimitChange,
+      onEvidence: ({ id }, evidence) => {
+        if (!this.instancesById.has(id)) return;
+        this.reachability.record(id, evidence);
+        this.updateReachability();
+      },
     });
     this.instancesById.set(record.id, runtime);
     this.updateSelector();
@@ -188,6 +219,7 @@
   removeInstance(id: InstanceId): void {
     this.instancesById.get(id)?.close();
     this.instancesById.delete(id);
+    this.reachability.forget(id);
     this.updateSelector();
   }
 
--- a/packages/gatewayDaemon/src/stateGauges.ts
+++ b/packages/gatewayDaemon/src/stateGauges.ts
@@ -99,6 +99,9 @@
     }
     const { pending, size } = service.searches;
     const inFlight = instances.reduce((sum, { ownInFlight }) => sum + ownInFlight, 0);
+    metrics
+      .gauge('bronzelift_service_reached', labels)
+      .set(Number(service.reachabilityState === 'reached'));
     metrics.gauge('bronzelift_service_utilization_ratio', labels).set(service.utilization);
     metrics.gauge('bronzelift_sends_in_flight', labels).set(inFlight);
     metrics.gauge('bronzelift_searches', { ...labels, state: 'running' }).set(pending);
--- a/packages/gatewayDaemon/tests/limitSharing.test.ts
+++ b/packages/gatewayDaemon/tests/limitSharing.test.ts
@@ -64,6 +64,7 @@
       table.countInstanceSharers(id, failureDomainId, maxSharers),
     onViolation: () => {},
     onResponse: () => {},
+    onReachabilityChange: () => {},
     onLimitChange: () => {},
   });
   service.setInstance(createRecord('i-1'));
--- a/packages/gatewayDaemon/tests/serviceRuntime.test.ts
+++ b/packages/gatewayDaemon/tests/serviceRuntime.test.ts
@@ -29,6 +29,7 @@
     countInstanceSharers: () => 1,
     onViolation: () => {},
     onResponse: () => {},
+    onReachabilityChange: () => {},
     onLimitChange: () => {},
   });
 
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -146,3 +146,15 @@
 
 /** Time reserved for a hedge to meet the latency objective, as a multiple of the work. */
 export const HEDGE_RESERVE_FACTOR = 1.35;
+
+/** Instances of a service that have to fail, without a response of any, until it is not reached. */
+export const INSTANCES_TO_BE_UNREACHED = 4;
+
+/** Instances that have to respond until a service that was not reached is reached again. */
+export const INSTANCES_TO_BE_REACHED = 2;
+
+/** Share of the instances that accept no new connections, above which a service is impaired. */
+export const MAX_IMPAIRED_SHARE = 0.5;
+
+/** A failed connection to an instance counts for this time. */
+export const CONNECT_FAILURE_MEMORY_MS = 1_500;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,6 +10,7 @@
 export * from './planHedge.js';
 export * from './meanSlowdown.js';
 export * from './weightedSplit.js';
+export * from './reachability.js';
 export * from './retryBudget.js';
 export * from './learnedSlowdown.js';
 export type * from './types.js';
