--- a/packages/backendClient/src/backendPool.ts
+++ b/packages/backendClient/src/backendPool.ts
@@ -182,7 +182,7 @@
     const startedAtMs = this.now();
     const { endpoint, connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS } = this.options;
     this.opening += 1;
-    const result = await openSocket(endpoint, connectTimeoutMs, signal);
+    const result = await openSocket(endpoint, connectTimeoutMs, signal, this.options.localAddress);
     this.opening -= 1;
     if (result.kind === 'failed') return this.createUnavailableResult(result.reason, result.detail);
     if (this.isClosed) {
--- a/packages/backendClient/src/openSocket.ts
+++ b/packages/backendClient/src/openSocket.ts
@@ -18,11 +18,12 @@
       readonly errorCode?: string | undefined;
     };
 
-/** Opens a TCP connection within a time limit. Never rejects. */
+/** Opens a TCP connection, from a local address if one is given, in a time limit. Never rejects. */
 export const openSocket = async (
   endpoint: Endpoint,
   timeoutMs: number,
   signal: AbortSignal | undefined,
+  localAddress?: string,
 ): Promise<OpenSocketResult> => {
   if (signal?.aborted) {
     return { kind: 'failed', reason: 'cancelled', detail: 'cancelled before connecting' };
@@ -30,6 +31,7 @@
   const socket = connect({
     host: endpoint.host,
     port: endpoint.port,
+    ...(localAddress === undefined ? {} : { localAddress }),
     noDelay: true,
     keepAlive: true,
     keepAliveInitialDelay: TCP_KEEP_ALIVE_MS,
@@ -62,8 +64,9 @@
 export const isConnectionRefused = async (
   endpoint: Endpoint,
   timeoutMs: number,
+  localAddress?: string,
 ): Promise<boolean> => {
-  const result = await openSocket(endpoint, timeoutMs, undefined);
+  const result = await openSocket(endpoint, timeoutMs, undefined, localAddress);
   if (result.kind === 'open') result.socket.destroy();
   return result.kind === 'failed' && result.errorCode === 'ECONNREFUSED';
 };
--- a/packages/backendClient/src/types.ts
+++ b/packages/backendClient/src/types.ts
@@ -182,6 +182,8 @@
   readonly endpoint: Endpoint;
   readonly maxConnections: number;
   readonly clock: Clock;
+  /** Local address of the connections; the system chooses it by default. */
+  readonly localAddress?: string | undefined;
   /** Time limit for opening a connection; default 1000. */
   readonly connectTimeoutMs?: number;
   /** Idle connections are closed by `sweep` after this time; default 60000. */
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -394,6 +394,7 @@
       dialect,
       bufferBudget: this.bufferBudget,
       bounds: settings.bounds,
+      localAddress: settings.backendLocalAddress,
       countSharers: () => this.members.countSharers(),
       countInstanceSharers: ({ id, failureDomainId }, maxSharers) =>
         this.members.countInstanceSharers(id, failureDomainId, maxSharers),
--- a/packages/gatewayDaemon/src/instanceRuntime.ts
+++ b/packages/gatewayDaemon/src/instanceRuntime.ts
@@ -34,6 +34,8 @@
   readonly clock: Clock;
   readonly dialect: BackendDialect;
   readonly maxConnections: number;
+  /** Local address of connections; undefined to let the system choose it. */
+  readonly localAddress?: string | undefined;
   /** Limits the bytes of responses that the process buffers. */
   readonly bufferBudget: BufferBudget;
   readonly onViolation: (name: 'whole-answer', detail: string) => void;
@@ -101,6 +103,7 @@
       instanceId: currentRecord.id,
       endpoint: currentRecord.endpoint,
       maxConnections: options.maxConnections,
+      localAddress: options.localAddress,
       clock: options.clock,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       idleTimeoutMs: CONNECTION_IDLE_MS,
--- a/packages/gatewayDaemon/src/serviceRuntime.ts
+++ b/packages/gatewayDaemon/src/serviceRuntime.ts
@@ -42,6 +42,8 @@
   /** Limits the bytes of responses that the process buffers. */
   readonly bufferBudget: BufferBudget;
   readonly bounds: SystemBounds;
+  /** Local address of connections to instances; undefined to let the system choose it. */
+  readonly localAddress?: string | undefined;
   /** Number of entry VMs that share the budgets of the system. */
   readonly countSharers: () => number;
   /**
@@ -201,6 +203,7 @@
       dialect,
       bufferBudget,
       maxConnections: this.calculateConnectionShare(),
+      localAddress: this.options.localAddress,
       onViolation,
       onResponse,
       onLimitChange,
--- a/packages/gatewayDaemon/src/types.ts
+++ b/packages/gatewayDaemon/src/types.ts
@@ -184,6 +184,8 @@
 export interface GatewaySettings {
   readonly vmId: VmId;
   readonly host: string;
+  /** Local address of connections to instances; undefined to let the system choose it. */
+  readonly backendLocalAddress: string | undefined;
   readonly failureDomainId: FailureDomainId;
   readonly region: string;
   readonly regionOfDomain: ReadonlyMap<FailureDomainId, string>;
