Hand requests of members that reach no instance on to others

Cause: a member took its own failed searches for a lack of room. Nothing told it that it alone reached no instance, it stayed named, and nothing handed a request on to a member that reaches them.

Change: attempts and probes tell whether a service is reached; members state in heartbeats which services they do not reach. A member that reaches none, though others do, is not named to callers, and hands requests that certainly have not run on to a member that reaches the service, once. If no member reaches the instances, nobody withdraws.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -419,3 +419,51 @@
  * ends, or by another request.
  */
 export const QUARANTINE_RETRY_AFTER_MS = 60_000;
+
+/** Path of the requests that one entry VM hands on to another one. */
+export const FORWARD_PATH = '/forward/1';
+
+/** Members that a request is offered to, one after the other, until one does not decline it. */
+export const MAX_FORWARD_ATTEMPTS = 3;
+
+/** Requests that this entry VM hands on at the same time. */
+export const MAX_FORWARDS = 512;
+
+/** Forwarded requests that this entry VM handles at the same time. */
+export const MAX_RECEIVED_FORWARDS = 256;
+
+/** Bytes of forwarded requests that this entry VM keeps at the same time. */
+export const MAX_FORWARDED_BYTES = 33_554_432;
+
+/** Time limit for a connection to a member. */
+export const FORWARD_CONNECT_TIMEOUT_MS = 100;
+
+/** Time after which an unused connection to a member is closed. */
+export const FORWARD_IDLE_MS = 5_000;
+
+/** Time after which a member closes an idle connection of another one. */
+export const PEER_CONNECTION_IDLE_MS = 15_000;
+
+/** A request is handed on only to members that were heard within this time. */
+export const FORWARDER_MAX_AGE_MS = 2_200;
+
+/** Interval of probes that show whether a service is reached again. */
+export const RECOVERY_PROBE_INTERVAL_MS = 200;
+
+/** Instances of a service that are probed at each interval while the service is not reached. */
+export const RECOVERY_PROBES = 3;
+
+/** Time for which instances have to be reached before the entry VM is named to callers again. */
+export const LISTING_DELAY_MS = 1_000;
+
+/** Minimum time between two notices to all members that the reached services have changed. */
+export const MIN_REACH_NOTICE_INTERVAL_MS = 200;
+
+/**
+ * Share of the members of a failure domain that has to reach instances for its callers to be sent to
+ * these members only.
+ */
+export const MIN_LISTED_SHARE = 0.25;
+
+/** Requests in flight at a near member from which on a member of another failure domain is used. */
+export const FAR_FORWARD_PENALTY = 6;
--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -29,6 +29,7 @@
 import { encodeChanges } from './peerMessages.js';
 import type { PeerMessage } from './peerMessages.js';
 import { PeerNetwork } from './peerNetwork.js';
+import type { PeerNetworkOptions } from './peerNetwork.js';
 import { formatPosition } from './storePosition.js';
 import { QuarantineStore } from './quarantineStore.js';
 import { StoreReader } from './storeReader.js';
@@ -49,6 +50,9 @@
   readonly members: MemberTable;
   readonly limits: LimitExchange;
   readonly crashes: CrashGuard;
+  readonly onForward: PeerNetworkOptions['onForward'];
+  /** Called after each heartbeat of another member. */
+  readonly onMemberHeard: () => void;
   readonly ownStatus: () => MemberStatus;
 }
 
@@ -90,6 +94,7 @@
       sendBytesPerInterval:
         settings.linkMbps * CHANGES_LINK_SHARE * BYTES_PER_MBIT_MS * SEND_INTERVAL_MS,
       onMessage: (message, fromHost) => this.handleMessage(message, fromHost),
+      onForward: options.onForward,
       createState: ({ operatorRevision, configurationVersion, instancePosition }) => ({
         operator:
           state.revision > operatorRevision || state.configurationVersion > configurationVersion
@@ -362,6 +367,7 @@
       this.sendLimits(this.options.limits.listObservedLimits(), [fromHost]);
       this.sendQuarantines(fromHost);
     }
+    this.options.onMemberHeard();
     this.compareQuarantines(status, fromHost);
     state.advanceInstancePosition(status.instancePosition, status.instanceDigest);
     if (!this.isBehind(status)) return;
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -22,12 +22,15 @@
 import { CrashGuard } from './crashGuard.js';
 import { createDirectoryServer, createReadinessServer } from './directoryServer.js';
 import { CallerServer } from './callerServer.js';
+import { ForwardReceiver } from './forwardReceiver.js';
 import { InstanceFinder } from './instanceFinder.js';
 import type { InstanceRuntime } from './instanceRuntime.js';
 import { LimitExchange } from './limitExchange.js';
 import { MemberTable } from './memberTable.js';
 import type { MemberStatus, OwnMember } from './memberTable.js';
 import { Prober } from './prober.js';
+import { ReachMonitor } from './reachMonitor.js';
+import { RequestForwarder } from './requestForwarder.js';
 import { RequestHandler } from './requestHandler.js';
 import { ServiceRuntime } from './serviceRuntime.js';
 import { StateGauges } from './stateGauges.js';
@@ -95,6 +98,14 @@
 
   private readonly callerServer: CallerServer;
 
+  private readonly prober: Prober;
+
+  private readonly reach: ReachMonitor;
+
+  private readonly forwarder: RequestForwarder;
+
+  private readonly forwards: ForwardReceiver;
+
   private readonly servers: Server[] = [];
 
   private sweepTimer: NodeJS.Timeout | undefined;
@@ -153,8 +164,38 @@
       members: this.members,
       limits: this.limits,
       crashes: this.crashes,
+      onForward: (message, response) => this.forwards.answer(message, response),
+      onMemberHeard: () => {
+        if (this.reach.unreachedServices.length > 0) this.reach.update();
+      },
       ownStatus: () => this.ownStatus(),
     });
+    this.prober = Prober.create({ clock, log: this.log, metrics: this.metrics });
+    this.reach = ReachMonitor.create({
+      clock,
+      random,
+      log: this.log,
+      members: this.members,
+      prober: this.prober,
+      services: this.services,
+      onChange: () => this.control.sendHeartbeat(),
+    });
+    this.forwarder = RequestForwarder.create({
+      clock,
+      log: this.log,
+      metrics: this.metrics,
+      members: this.members,
+      settings,
+      configurationVersion: () => this.state.configurationVersion,
+    });
+    const handler = this.createHandler();
+    this.forwards = ForwardReceiver.create({
+      clock,
+      metrics: this.metrics,
+      handler,
+      isReady: () => this.isReady,
+      findService: (name) => this.services.get(name),
+    });
     this.gauges = StateGauges.create({
       clock,
       log: this.log,
@@ -163,13 +204,13 @@
       members: this.members,
       control: this.control,
       services: this.services,
-      countInFlight: () => this.callerServer.inFlight,
+      countInFlight: () => this.inFlight,
     });
     this.callerServer = CallerServer.create({
       clock,
       log: this.log,
       protocol,
-      handler: this.createHandler(),
+      handler,
       isStopping: () => this.isStopping,
     });
   }
@@ -204,6 +245,7 @@
       this.control.start(),
     ]);
     if (metricsPort !== undefined) await this.serveMetrics(metricsPort);
+    this.reach.start();
     let dueAtMs = this.options.clock.monotonicMs() + SWEEP_INTERVAL_MS;
     this.sweepTimer = setInterval(() => {
       const nowMs = this.options.clock.monotonicMs();
@@ -213,9 +255,9 @@
     }, SWEEP_INTERVAL_MS);
   }
 
-  /** Number of callers' requests without a complete response. */
+  /** Number of requests without a complete response, of callers and of other members. */
   get inFlight(): number {
-    return this.callerServer.inFlight;
+    return this.callerServer.inFlight + this.forwards.inFlight;
   }
 
   /**
@@ -235,18 +277,18 @@
     this.isStopping = true;
     const { clock, settings } = this.options;
     const startedAtMs = clock.monotonicMs();
-    this.log.info(LogComponent.daemon, 'stopping', { inFlight: this.callerServer.inFlight });
+    this.log.info(LogComponent.daemon, 'stopping', { inFlight: this.inFlight });
     this.control.sendHeartbeat();
     const limitMs = settings.bounds.stopGraceMs - STOP_RESERVE_MS;
     await this.wait(Math.min(STOP_ACCEPT_MS, limitMs));
     this.callerServer.server.close();
     this.callerServer.server.closeIdleConnections();
-    while (this.callerServer.inFlight > 0 && clock.monotonicMs() - startedAtMs < limitMs) {
+    while (this.inFlight > 0 && clock.monotonicMs() - startedAtMs < limitMs) {
       await this.wait(STOP_CHECK_INTERVAL_MS);
     }
     this.releaseResources();
     this.log.info(LogComponent.daemon, 'stopped', {
-      inFlight: this.callerServer.inFlight,
+      inFlight: this.inFlight,
       tookMs: clock.monotonicMs() - startedAtMs,
     });
     await this.log.close(LOG_CLOSE_TIMEOUT_MS);
@@ -262,12 +304,14 @@
   private releaseResources(): void {
     this.control.stop();
     clearInterval(this.sweepTimer);
+    this.reach.stop();
+    this.forwarder.close();
     for (const service of this.services.values()) service.close();
     for (const server of this.servers) server.close();
   }
 
   private get isReady(): boolean {
-    return this.state.isComplete && !this.isStopping;
+    return this.state.isComplete && !this.isStopping && !this.reach.isIsolated;
   }
 
   private ownMember(): OwnMember {
@@ -278,6 +322,7 @@
       failureDomainId: settings.failureDomainId,
       callerEndpoint: settings.callerEndpoint,
       phase: this.isStopping ? 'leaving' : phase,
+      isCutOff: this.reach.isCutOff,
     };
   }
 
@@ -293,13 +338,13 @@
       instancePosition: this.state.nextInstancePosition ?? -1,
       instanceDigest: this.state.digest,
       quarantineDigest: this.crashes.digest,
+      unreachedServices: this.reach.unreachedServices,
     };
   }
 
   private createHandler(): RequestHandler {
     const { clock, random, settings } = this.options;
-    const { log, metrics, state } = this;
-    const prober = Prober.create({ clock, log, metrics });
+    const { log, metrics, state, prober } = this;
     const finder = InstanceFinder.create({
       clock,
       random,
@@ -319,6 +364,7 @@
       finder,
       prober,
       crashes: this.crashes,
+      forwarder: this.forwarder,
       findService: (name) => this.services.get(name),
     });
   }
@@ -401,7 +447,7 @@
       onViolation: (invariant, detail) => {
         this.log.error(LogComponent.invariant, invariant, { detail });
       },
-      onReachabilityChange: () => {},
+      onReachabilityChange: () => this.reach.update(),
       onResponse: (instance, sentAtMs) => this.crashes.recordResponse(instance, sentAtMs),
       onLimitChange: (instance) => {
         this.control.sendLimits([this.limits.recordChange(instance)]);
--- a/packages/gatewayDaemon/src/memberTable.ts
+++ b/packages/gatewayDaemon/src/memberTable.ts
@@ -5,13 +5,16 @@
   FailureDomainId,
   InstanceId,
   RandomSource,
+  ServiceName,
   VmId,
 } from '@bronzelift/common';
 
 import {
+  FORWARDER_MAX_AGE_MS,
   MAX_INSTANCE_SHARER_RESULTS,
   MEMBER_REMOVAL_MS,
   MEMBER_LOST_MS,
+  MIN_LISTED_SHARE,
   READER_COUNT,
   STORE_FAILURE_MEMORY_MS,
 } from './constants.js';
@@ -38,12 +41,27 @@
   readonly configurationVersion: number;
   readonly instancePosition: number;
   readonly instanceDigest: number;
+  /** Whether the member reaches no instances although others do. */
+  readonly isCutOff: boolean;
+  /** Services whose instances the member does not reach. */
+  readonly unreachedServices: readonly ServiceName[];
   /** Digest of the quarantined requests; NO_DIGEST from earlier builds. */
   readonly quarantineDigest: number;
 }
 
 /** The part of this entry VM's own status that the table uses. */
-export type OwnMember = Pick<MemberStatus, 'vmId' | 'failureDomainId' | 'callerEndpoint' | 'phase'>;
+export type OwnMember = Pick<
+  MemberStatus,
+  'vmId' | 'failureDomainId' | 'callerEndpoint' | 'phase' | 'isCutOff'
+>;
+
+/** What a member has to fulfill to be handed a request on. */
+export interface ForwarderNeed {
+  readonly service: ServiceName;
+  readonly minVersion: number;
+  /** Regions to which the request may be sent; empty if all are. */
+  readonly allowedRegions: readonly string[];
+}
 
 /** Another entry VM with its latest heartbeat. */
 export interface Member {
@@ -205,16 +223,48 @@
     return [first, ...new Set(others)].slice(0, READER_COUNT).map(({ vmId }) => vmId);
   }
 
+  /** Whether a ready member reaches all of the given services. */
+  isAnyReaching(services: readonly ServiceName[]): boolean {
+    return this.live().some(
+      ({ status }) =>
+        status.phase === 'ready' &&
+        !status.isCutOff &&
+        !services.some((service) => status.unreachedServices.includes(service)),
+    );
+  }
+
+  /** Members that reach a service and can handle a request for it, in random order. */
+  selectForwarders({ service, minVersion, allowedRegions }: ForwarderNeed): Member[] {
+    const limitMs = this.now() - FORWARDER_MAX_AGE_MS;
+    const { regionOfDomain, random } = this.options;
+    const suitable = this.live().filter(
+      ({ status, lastHeardAtMs }) =>
+        lastHeardAtMs >= limitMs &&
+        status.phase === 'ready' &&
+        !status.isCutOff &&
+        !status.unreachedServices.includes(service) &&
+        status.configurationVersion >= minVersion &&
+        (allowedRegions.length === 0 ||
+          allowedRegions.includes(regionOfDomain.get(status.failureDomainId) ?? '')),
+    );
+    return shuffle(random, suitable);
+  }
+
   /**
    * Addresses for a caller: the ready members in its failure domain, else in its region, else all.
    * Callers that stay in their failure domain cause no response traffic between domains.
    */
   selectAddresses(location: CallerLocation): Endpoint[] {
     const statuses = [this.options.own(), ...this.live().map(({ status }) => status)];
-    const ready = statuses.filter(({ phase }) => phase === 'ready');
-    const inDomain = ready.filter(
-      ({ failureDomainId }) => failureDomainId === location.failureDomainId,
-    );
+    const allReady = statuses.filter(({ phase }) => phase === 'ready');
+    const reaching = allReady.filter(({ isCutOff }) => !isCutOff);
+    const ready = reaching.length > 0 ? reaching : allReady;
+    const isInDomain = ({ failureDomainId }: OwnMember): boolean =>
+      failureDomainId === location.failureDomainId;
+    const allInDomain = ready.filter(isInDomain);
+    // A few members would not bear the callers of all others in their failure domain.
+    const minInDomain = allReady.filter(isInDomain).length * MIN_LISTED_SHARE;
+    const inDomain = allInDomain.length >= minInDomain ? allInDomain : [];
     const inRegion = ready.filter(
       ({ failureDomainId }) => this.options.regionOfDomain.get(failureDomainId) === location.region,
     );
--- a/packages/gatewayDaemon/src/peerMessages.ts
+++ b/packages/gatewayDaemon/src/peerMessages.ts
@@ -71,9 +71,13 @@
   toEra(status.operatorRevision),
   toEra(status.instancePosition),
   status.quarantineDigest,
+  Number(status.isCutOff),
 ];
 
-const decodeStatus = (fields: unknown): MemberStatus | undefined => {
+const decodeStatus = (
+  fields: unknown,
+  unreachedServices: readonly string[],
+): MemberStatus | undefined => {
   if (!Array.isArray(fields) || fields.length < STATUS_FIELDS) return undefined;
   const [vmId, incarnation, failureDomainId, endpoint, phase, ...numbers] = fields as unknown[];
   const callerEndpoint = parseEndpoint(String(endpoint));
@@ -82,7 +86,8 @@
   if (!numbers.every((value) => typeof value === 'number')) return undefined;
   const [isStoreFailing, isReader, storeReadAgeMs, revision, offset, digest, ...later] = numbers;
   // Earlier builds do not send all of these.
-  const [version = NO_VERSION, operatorEra = 0, instanceEra = 0, quarantines = NO_DIGEST] = later;
+  const [version = NO_VERSION, operatorEra = 0, instanceEra = 0, ...latest] = later;
+  const [quarantines = NO_DIGEST, isCutOff = 0] = latest;
   return {
     vmId: String(vmId),
     incarnation: String(incarnation),
@@ -97,6 +102,8 @@
     instanceDigest: digest!,
     configurationVersion: version,
     quarantineDigest: quarantines,
+    isCutOff: isCutOff === 1,
+    unreachedServices,
   };
 };
 
@@ -148,11 +155,17 @@
   return { fingerprint, untilWallMs };
 };
 
+/** Earlier builds ignore what follows the fields of the status. */
+const encodeHeartbeat = (status: MemberStatus): readonly unknown[] => {
+  const message = [MessageCode.heartbeat, encodeStatus(status)];
+  return status.unreachedServices.length === 0 ? message : [...message, status.unreachedServices];
+};
+
 /** Encodes a message as the bytes of a datagram. */
 export const encodeMessage = (message: PeerMessage): Buffer => {
   switch (message.kind) {
     case 'heartbeat':
-      return Buffer.from(JSON.stringify([MessageCode.heartbeat, encodeStatus(message.status)]));
+      return Buffer.from(JSON.stringify(encodeHeartbeat(message.status)));
     case 'members':
       return Buffer.from(JSON.stringify([MessageCode.members, message.hosts]));
     case 'changes':
@@ -202,7 +215,7 @@
     return undefined;
   }
   if (!Array.isArray(fields)) return undefined;
-  const [code, first] = fields as unknown[];
+  const [code, first, second] = fields as unknown[];
   if (code === MessageCode.members && Array.isArray(first)) {
     return { kind: 'members', hosts: first.filter((host) => typeof host === 'string') };
   }
@@ -221,6 +234,6 @@
   }
   if (code === MessageCode.quarantineQuery) return { kind: 'quarantine-query' };
   if (code !== MessageCode.heartbeat) return undefined;
-  const status = decodeStatus(first);
+  const status = decodeStatus(first, decodeTexts(second));
   return status === undefined ? undefined : { kind: 'heartbeat', status };
 };
--- a/packages/gatewayDaemon/src/peerNetwork.ts
+++ b/packages/gatewayDaemon/src/peerNetwork.ts
@@ -11,8 +11,10 @@
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 
 import {
+  FORWARD_PATH,
   MAX_PEER_STATE_BYTES,
   NO_VERSION,
+  PEER_CONNECTION_IDLE_MS,
   PEER_FETCH_TIMEOUT_MS,
   SEND_INTERVAL_MS,
 } from './constants.js';
@@ -47,6 +49,8 @@
   readonly sendBytesPerInterval: number;
   readonly onMessage: (message: PeerMessage, fromHost: string) => void;
   readonly createState: (query: PeerStateQuery) => PeerState;
+  /** Answers a request of a caller that another member hands on. */
+  readonly onForward: (message: IncomingMessage, response: ServerResponse) => Promise<void>;
 }
 
 const HTTP_OK = 200;
@@ -102,8 +106,8 @@
 });
 
 /**
- * Sends heartbeats and changes as UDP datagrams, and answers requests for missed state over HTTP. Only control messages
- * pass between entry VMs, no callers' requests.
+ * Sends heartbeats and changes as UDP datagrams, and answers requests for missed state and requests
+ * of callers that other entry VMs hand on over HTTP.
  */
 export class PeerNetwork {
   private readonly socket: Socket;
@@ -126,6 +130,7 @@
         response.destroy();
       });
     });
+    this.server.keepAliveTimeout = PEER_CONNECTION_IDLE_MS;
   }
 
   /** Creates the network without opening ports; call `open`. */
@@ -231,6 +236,9 @@
         await this.sendState(state, since ?? 'start', message, response);
         return;
       }
+      case FORWARD_PATH:
+        await this.options.onForward(message, response);
+        return;
       case OFFSET_STATE_PATH:
         await this.sendState(
           toOffsetState(this.createWholeState(operatorRevision)),
--- a/packages/gatewayDaemon/src/requestContext.ts
+++ b/packages/gatewayDaemon/src/requestContext.ts
@@ -79,11 +79,21 @@
     return this.hasAmbiguousAttempt;
   }
 
+  /** Whether another member handed the request on, so that it must not be handed on again. */
+  get isForwarded(): boolean {
+    return this.options.request.forwardedService !== undefined;
+  }
+
   /** The latest response of an instance, even if it reports a failure. */
   get lastResponse(): BackendAttempt | undefined {
     return this.answer;
   }
 
+  /** Records that another member received the request and its answer is not known. */
+  recordUnknownForward(): void {
+    this.hasAmbiguousAttempt = true;
+  }
+
   /** Records the outcome of an attempt. */
   recordAttempt(attempt: BackendAttempt): void {
     if (attempt.kind === 'not-sent') return;
--- a/packages/gatewayDaemon/src/requestHandler.ts
+++ b/packages/gatewayDaemon/src/requestHandler.ts
@@ -28,6 +28,7 @@
 import type { Prober } from './prober.js';
 import { RequestLog } from './requestLog.js';
 import type { ServiceRuntime } from './serviceRuntime.js';
+import type { RequestForwarder } from './requestForwarder.js';
 import { RequestContext } from './requestContext.js';
 import type { CallerRequest, FailureReason, GatewayAnswer, RefusalReason, Route } from './types.js';
 
@@ -41,6 +42,7 @@
   readonly finder: InstanceFinder;
   readonly prober: Prober;
   readonly crashes: CrashGuard;
+  readonly forwarder: RequestForwarder;
   readonly findService: (name: ServiceName) => ServiceRuntime | undefined;
 }
 
@@ -87,9 +89,10 @@
       this.requestLog.notFound(request, host);
       return { kind: 'not-found' };
     }
-    const service = findService(this.findOrCreateSplit(route).next() ?? '');
+    const service = findService(this.selectService(route, request));
     if (service === undefined) return this.refuseUnknownState(request);
-    service.retries.recordRequest();
+    // The member that received a forwarded request from its caller has counted it.
+    if (request.forwardedService === undefined) service.retries.recordRequest();
     const waitMs = Math.min(request.callerWaitMs, route.timeoutMs);
     const earlierWaitMs = service.estimateEarlierWaitMs(route, request.callerWaitMs);
     const context = RequestContext.create({
@@ -104,6 +107,13 @@
     return this.run(context);
   }
 
+  /** A forwarded request keeps the service that its first member has selected. */
+  private selectService(route: Route, { forwardedService }: CallerRequest): ServiceName {
+    const isPart = route.parts.some(({ service }) => service === forwardedService);
+    if (forwardedService !== undefined && isPart) return forwardedService;
+    return this.findOrCreateSplit(route).next() ?? '';
+  }
+
   private findOrCreateSplit(route: Route): WeightedSplit {
     const existing = this.splits.get(route);
     if (existing !== undefined) return existing;
@@ -114,6 +124,10 @@
 
   private async run(context: RequestContext): Promise<GatewayAnswer> {
     const { route, request } = context;
+    if (context.service.reachabilityState === 'unreached') {
+      const answer = await this.handOn(context);
+      if (answer !== undefined) return answer;
+    }
     for (;;) {
       const searchMs =
         context.triedInstances.size === 0
@@ -123,7 +137,9 @@
       // is left to other requests.
       const acceptsSlow = context.service.utilization < MAX_SLOW_INSTANCE_UTILIZATION;
       const found = await this.search(context, searchMs, acceptsSlow);
-      if (typeof found === 'string') return this.answerSearchFailure(context, found);
+      if (typeof found === 'string') {
+        return (await this.handOn(context)) ?? this.answerSearchFailure(context, found);
+      }
       // Another entry VM may have reported a crash during the search.
       if (this.isQuarantined(context)) {
         found.release();
@@ -136,6 +152,10 @@
       const ended = route.isIdempotent
         ? await this.sendWithHedge(context, found)
         : await this.send(context, found, request.signal);
+      if (ended.attempt.kind === 'not-sent') {
+        const forwarded = await this.handOn(context);
+        if (forwarded !== undefined) return forwarded;
+      }
       const answer = this.decideAfterAttempt(context, ended);
       if (answer !== 'retry') return answer;
       this.options.metrics
@@ -144,6 +164,29 @@
     }
   }
 
+  /**
+   * Hands a request that certainly has not run on to a member that reaches the instances; undefined
+   * if this entry VM reaches them or no other one can handle the request.
+   */
+  private async handOn(context: RequestContext): Promise<GatewayAnswer | undefined> {
+    const { request, service, isForwarded, sentAttemptCount } = context;
+    if (isForwarded || sentAttemptCount > 0 || request.signal.aborted) return undefined;
+    if (service.reachabilityState === 'reached') return undefined;
+    const outcome = await this.options.forwarder.forward(context);
+    switch (outcome.kind) {
+      case 'answered':
+        this.count(context, `forwarded-${outcome.answer.kind}`);
+        return outcome.answer;
+      case 'unknown':
+        context.recordUnknownForward();
+        return this.fail(context, outcome.isTimeout ? 'timeout' : 'instance-failed');
+      case 'not-sent':
+        return undefined;
+      default:
+        return assertNever(outcome);
+    }
+  }
+
   private isQuarantined({ fingerprint }: RequestContext): boolean {
     return this.options.crashes.judge(fingerprint) === 'quarantined';
   }
--- a/packages/gatewayDaemon/src/serviceRuntime.ts
+++ b/packages/gatewayDaemon/src/serviceRuntime.ts
@@ -168,6 +168,16 @@
     return this.reachability.state;
   }
 
+  /** Time since the last response of any instance; Infinity before the first one. */
+  get responseAgeMs(): number {
+    return this.reachability.responseAgeMs;
+  }
+
+  /** Number of registered instances. */
+  get size(): number {
+    return this.instancesById.size;
+  }
+
   /** Detects a change of reachability, also one by the time that has passed. */
   updateReachability(): void {
     const { state } = this.reachability;
--- a/packages/gatewayDaemon/src/types.ts
+++ b/packages/gatewayDaemon/src/types.ts
@@ -145,6 +145,8 @@
   readonly callerWaitMs: number;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
+  /** Service for which another member handed the request on; undefined from a caller itself. */
+  readonly forwardedService?: ServiceName | undefined;
 }
 
 /** Why a request is refused. In each case no instance has run it or will run it. */
--- a/packages/gatewayDaemon/tests/limitSharing.test.ts
+++ b/packages/gatewayDaemon/tests/limitSharing.test.ts
@@ -37,6 +37,8 @@
     instancePosition: 1,
     instanceDigest: 1,
     quarantineDigest: 1,
+    isCutOff: false,
+    unreachedServices: [],
   };
   const random = SeededRandom.create(index);
   const table = MemberTable.create({
--- a/packages/gatewayDaemon/tests/memberTable.test.ts
+++ b/packages/gatewayDaemon/tests/memberTable.test.ts
@@ -8,6 +8,7 @@
   MAX_DATAGRAM_BYTES,
   MEMBER_LOST_MS,
   MEMBER_REMOVAL_MS,
+  MIN_LISTED_SHARE,
   NO_POSITION,
   READER_COUNT,
 } from '../src/constants.js';
@@ -35,15 +36,17 @@
   instancePosition: 1,
   instanceDigest: 1,
   quarantineDigest: 1,
+  isCutOff: false,
+  unreachedServices: [],
   ...fields,
 });
 
 /** Creates one table per member, each with a heartbeat of every other member. */
 const createTables = (statuses: readonly MemberStatus[], clock = ManualClock.create()) => {
-  const tables = statuses.map((own) =>
+  const tables = statuses.map((own, index) =>
     MemberTable.create({
       clock,
-      random: SeededRandom.create(1),
+      random: SeededRandom.create(index + 1),
       regionOfDomain: new Map(DOMAINS.map((domain) => [domain, 'north'])),
       own: () => own,
     }),
@@ -221,4 +224,52 @@
       seedOption,
     );
   });
+
+  [14, 92, 142].forEach((count) => {
+    const hasCut = {
+      'half of them': (index: number) => index % 2 === 0,
+      'a failure domain': (index: number) => index % DOMAINS.length === 0,
+      'all but one in each domain': (index: number) => index >= DOMAINS.length,
+    };
+    Object.entries(hasCut).forEach(([name, isCut]) => {
+      // Guards against callers and requests that are sent to members which reach no instance, and
+      // against a few members that get all of them.
+      it(`sends nothing to members that are cut off: ${name} of ${count}`, () => {
+        const statuses = range(count).map((index) =>
+          createStatus(index, isCut(index) ? { isCutOff: true, unreachedServices: ['s'] } : {}),
+        );
+        const { tables } = createTables(statuses);
+        const reaching = statuses.filter((_status, index) => !isCut(index));
+        const hosts = new Set(reaching.map(({ callerEndpoint }) => callerEndpoint.host));
+        const received = new Map<string, number>();
+        const rounds = 50;
+        for (const table of tables) {
+          for (const domain of DOMAINS) {
+            const endpoints = table.selectAddresses({ failureDomainId: domain, region: 'north' });
+            expect(endpoints.every(({ host }) => hosts.has(host))).to.equal(true);
+            const inDomain = statuses.filter((status) => status.failureDomainId === domain);
+            const minListed = Math.min(inDomain.length * MIN_LISTED_SHARE, reaching.length);
+            expect(endpoints.length).to.be.at.least(minListed);
+          }
+          for (let round = 0; round < rounds; round += 1) {
+            const need = { service: 's', minVersion: 1, allowedRegions: [] };
+            const [first] = table.selectForwarders(need);
+            expect(hosts.has(first!.host)).to.equal(true);
+            received.set(first!.host, (received.get(first!.host) ?? 0) + 1);
+          }
+        }
+        const mean = (count * rounds) / hosts.size;
+        expect(Math.max(...received.values())).to.be.below(mean * 1.6);
+      });
+    });
+  });
+
+  // Guards against a system without addresses when the instances fail for all members.
+  it('names all members when none of them reaches an instance', () => {
+    const statuses = range(6).map((index) => createStatus(index, { isCutOff: true }));
+    const { tables } = createTables(statuses);
+    const endpoints = tables[0]!.selectAddresses({ failureDomainId: 'a', region: 'north' });
+    expect(endpoints).to.have.length(2);
+    expect(tables[0]!.isAnyReaching(['s'])).to.equal(false);
+  });
 });
--- a/packages/gatewayDaemon/tests/peerNetwork.test.ts
+++ b/packages/gatewayDaemon/tests/peerNetwork.test.ts
@@ -33,6 +33,7 @@
     metrics: Metrics.create(),
     sendBytesPerInterval: BYTES_PER_INTERVAL,
     onMessage: () => {},
+    onForward: () => Promise.resolve(),
     createState,
   });
 
--- a/packages/routing/src/reachability.ts
+++ b/packages/routing/src/reachability.ts
@@ -30,6 +30,8 @@
 
   private isUnreached = false;
 
+  private responseAtMs = -Infinity;
+
   private constructor(
     private readonly clock: Clock,
     private readonly countInstances: () => number,
@@ -68,6 +70,11 @@
     this.connectFailedAtMs.delete(instanceId);
   }
 
+  /** Time since the last response of any instance; Infinity before the first one. */
+  get responseAgeMs(): number {
+    return this.clock.monotonicMs() - this.responseAtMs;
+  }
+
   /** Current state; a service without instances counts as reached. */
   get state(): ReachabilityState {
     if (this.countInstances() === 0) return 'reached';
@@ -79,6 +86,7 @@
   }
 
   private recordResponse(instanceId: InstanceId): void {
+    this.responseAtMs = this.clock.monotonicMs();
     this.failed.clear();
     if (!this.isUnreached) return;
     this.responded.add(instanceId);
