--- a/packages/gatewayDaemon/src/instanceFinder.ts
+++ b/packages/gatewayDaemon/src/instanceFinder.ts
@@ -143,8 +143,8 @@
   /** Instances that the registrations, the operators and the route allow for the request. */
   private listAllowedInstances({ service, route, excluded }: InstanceSearch): InstanceRuntime[] {
     return [...service.instances].filter(
-      ({ record, id, isReplaced }) =>
-        !record.isDraining &&
+      ({ record, id, isReplaced, isLeaving }) =>
+        !isLeaving &&
         !isReplaced &&
         !excluded.has(id) &&
         !this.options.isDomainOut(record.failureDomainId) &&
--- a/packages/gatewayDaemon/src/instanceRuntime.ts
+++ b/packages/gatewayDaemon/src/instanceRuntime.ts
@@ -78,6 +78,8 @@
 
   private isAddressTaken = false;
 
+  private hasStatedLeaving = false;
+
   private limitTokens: SharedRateLimit;
 
   /** Whether a health response contained the limit. */
@@ -173,6 +175,11 @@
     this.pool.close();
   }
 
+  /** Whether the instance is about to end, by its registration or its own responses. */
+  get isLeaving(): boolean {
+    return this.currentRecord.isDraining || this.hasStatedLeaving;
+  }
+
   get isCold(): boolean {
     return this.now() < this.coldUntilMs;
   }
@@ -275,6 +282,7 @@
       this.options.onEvidence(this, acquired.isNew ? 'response-on-new-connection' : 'response');
       this.options.onResponse(this, startedAtMs);
       this.recordLoad(attempt.response.load);
+      if (attempt.response.load.state === 'draining') this.hasStatedLeaving = true;
       const isProbe = request.requestId === PROBE_REQUEST_ID;
       this.recordLimit(attempt.response.load.maxRequestsPerS, startedAtMs, isProbe);
     } else if (isUnanswered(attempt)) {
--- a/packages/gatewayDaemon/src/reachMonitor.ts
+++ b/packages/gatewayDaemon/src/reachMonitor.ts
@@ -131,7 +131,7 @@
   private probeSome(service: ServiceRuntime | undefined): void {
     if (service === undefined) return;
     const probed = [...service.instances].filter(
-      ({ record, isReplaced }) => !record.isDraining && !isReplaced,
+      ({ isLeaving, isReplaced }) => !isLeaving && !isReplaced,
     );
     for (const instance of shuffle(this.options.random, probed).slice(0, RECOVERY_PROBES)) {
       this.options.prober.probe(service, instance);
--- a/packages/gatewayDaemon/src/stateGauges.ts
+++ b/packages/gatewayDaemon/src/stateGauges.ts
@@ -89,7 +89,7 @@
       instances.filter(isCounted).length;
     const counts = {
       registered: instances.length,
-      draining: count(({ record }) => record.isDraining),
+      draining: count(({ isLeaving }) => isLeaving),
       cold: count(({ isCold }) => isCold),
       limited: count(({ maxRequestsPerS }) => maxRequestsPerS !== undefined),
       ejected: count(({ id }) => !service.selector.isUsable(id)),
