Let instances pause that state a Retry-After

Change: for the stated time an instance gets neither requests nor probes of this entry VM, by the same rule as for cold and limited instances. If all pause for longer than a search, the caller is refused at once.

--- a/packages/backendClient/src/types.ts
+++ b/packages/backendClient/src/types.ts
@@ -77,6 +77,8 @@
   readonly slowdown?: number | undefined;
   /** Time until a cold instance is warm; 0 if it reported that it is warm. */
   readonly coldForMs?: number | undefined;
+  /** Time for which the instance wants no further requests from this VM. */
+  readonly pauseMs?: number | undefined;
   /** Requests per second that the instance accepts from all entry VMs together, if it limits them. */
   readonly maxRequestsPerS?: number | undefined;
 }
--- a/packages/gatewayDaemon/src/instanceRuntime.ts
+++ b/packages/gatewayDaemon/src/instanceRuntime.ts
@@ -3,6 +3,7 @@
   BackendAttempt,
   BackendDialect,
   BackendRequest,
+  BackendResponse,
   BufferBudget,
 } from '@bronzelift/backend-client';
 import type { Clock } from '@bronzelift/common';
@@ -47,6 +48,8 @@
   readonly onLimitChange: (instance: InstanceRuntime) => void;
 }
 
+const HTTP_UNAVAILABLE = 503;
+
 /** Whether an attempt ended without a byte of a response, other than by its sender. */
 const isUnanswered = (attempt: BackendAttempt): boolean =>
   attempt.kind === 'failed-after-send' &&
@@ -78,6 +81,8 @@
 
   private isAddressTaken = false;
 
+  private pauseUntilMs = -Infinity;
+
   private hasStatedLeaving = false;
 
   private limitTokens: SharedRateLimit;
@@ -180,6 +185,11 @@
     return this.currentRecord.isDraining || this.hasStatedLeaving;
   }
 
+  /** Time for which the instance wants neither requests nor probes of this VM; 0 for none. */
+  get pauseLeftMs(): number {
+    return Math.max(this.pauseUntilMs - this.now(), 0);
+  }
+
   get isCold(): boolean {
     return this.now() < this.coldUntilMs;
   }
@@ -283,6 +293,7 @@
       this.options.onResponse(this, startedAtMs);
       this.recordLoad(attempt.response.load);
       if (attempt.response.load.state === 'draining') this.hasStatedLeaving = true;
+      this.recordPause(attempt.response);
       const isProbe = request.requestId === PROBE_REQUEST_ID;
       this.recordLimit(attempt.response.load.maxRequestsPerS, startedAtMs, isProbe);
     } else if (isUnanswered(attempt)) {
@@ -345,6 +356,11 @@
     };
   }
 
+  private recordPause({ status, load: { pauseMs } }: BackendResponse): void {
+    if (status !== HTTP_UNAVAILABLE || pauseMs === undefined) return;
+    this.pauseUntilMs = Math.max(this.pauseUntilMs, this.now() + pauseMs);
+  }
+
   private recordLimit(
     maxRequestsPerS: number | undefined,
     sentAtMs: number,
--- a/packages/gatewayDaemon/src/prober.ts
+++ b/packages/gatewayDaemon/src/prober.ts
@@ -17,7 +17,7 @@
   | { readonly kind: 'failed'; readonly detail: string }
   /** This entry VM's share of the probe budget is used up; nothing was sent. */
   | { readonly kind: 'over-budget' }
-  /** The limit that the instance advertises allows this entry VM no probe now; nothing was sent. */
+  /** What the instance states allows this entry VM no probe now; nothing was sent. */
   | { readonly kind: 'over-limit' };
 
 /** Dependencies of a Prober. */
--- a/packages/gatewayDaemon/src/serviceRuntime.ts
+++ b/packages/gatewayDaemon/src/serviceRuntime.ts
@@ -255,7 +255,8 @@
   calculateWaitMs(instance: InstanceRuntime, arrivals = 1): number {
     const coldWaitMs = instance.calculateColdWaitMs(this.calculateColdRate(instance));
     const advertisedRate = this.calculateAdvertisedRate(instance);
-    return Math.max(coldWaitMs, instance.calculateLimitWaitMs(advertisedRate, arrivals));
+    const limitWaitMs = instance.calculateLimitWaitMs(advertisedRate, arrivals);
+    return Math.max(coldWaitMs, limitWaitMs, instance.pauseLeftMs);
   }
 
   /** Begins a request to an instance; the returned function must be called when it has ended. */
@@ -266,8 +267,9 @@
     );
   }
 
-  /** Counts a probe against the limit that an instance advertises; false if it allows none now. */
+  /** Counts a probe against the limits that an instance states; false if they allow none now. */
   tryTakeLimitToken(instance: InstanceRuntime): boolean {
+    if (instance.pauseLeftMs > 0) return false;
     const rate = this.calculateAdvertisedRate(instance);
     if (instance.calculateLimitWaitMs(rate, 1) > 0) return false;
     instance.spendLimitToken(rate);
--- a/packages/gatewayDaemon/src/stateGauges.ts
+++ b/packages/gatewayDaemon/src/stateGauges.ts
@@ -91,6 +91,7 @@
       registered: instances.length,
       draining: count(({ isLeaving }) => isLeaving),
       cold: count(({ isCold }) => isCold),
+      pausing: count(({ pauseLeftMs }) => pauseLeftMs > 0),
       limited: count(({ maxRequestsPerS }) => maxRequestsPerS !== undefined),
       ejected: count(({ id }) => !service.selector.isUsable(id)),
     };
