Dispute reports of crashes to their senders only

When instances end that ran a popular request, each member that knows a completion of it told all others: about 20,000 datagrams for each report.

A dispute now goes to the member that sent the report, and this one tells all others of the first dispute. In crashGuard.test.ts three reports among 142 members cost fewer than 1,420 messages, and all members drop the suspicion. The test was written with the change and was not run on the code before.

--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -166,9 +166,9 @@
     }
   }
 
-  /** Sends a message to all members. */
-  sendToMembers(message: PeerMessage): void {
-    this.network.send(this.listPeerHosts(), message);
+  /** Sends a message to the given members, or to all. */
+  sendToMembers(message: PeerMessage, hosts: readonly string[] = this.listPeerHosts()): void {
+    this.network.send(hosts, message);
   }
 
   /** Stops all tasks and closes the peer ports and the connections to the store. */
@@ -330,7 +330,7 @@
         this.options.limits.merge(message.limits);
         return;
       case 'crashes':
-        this.options.crashes.merge(message.evidence);
+        this.options.crashes.merge(message.evidence, fromHost);
         return;
       case 'quarantines':
         this.options.crashes.addQuarantines(message.quarantines, 'peer');
--- a/packages/gatewayDaemon/src/crashGuard.ts
+++ b/packages/gatewayDaemon/src/crashGuard.ts
@@ -27,12 +27,17 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly metrics: Metrics;
-  /** Sends a message to all other entry VMs. */
-  readonly send: (message: PeerMessage) => void;
+  /** Sends a message to the given hosts, or to all other entry VMs. */
+  readonly send: (message: PeerMessage, hosts?: readonly string[]) => void;
 }
 
 const DIGEST_MODULUS = 2 ** 32;
 
+const createEvidence = (evidence: Partial<CrashEvidence>): PeerMessage => ({
+  kind: 'crashes',
+  evidence: { crashes: [], aliveProcesses: [], completed: [], ...evidence },
+});
+
 const toProcess = ({ id, record }: InstanceRuntime): string => `${id} ${record.startedAtWallMs}`;
 
 /**
@@ -79,15 +84,27 @@
     this.sendEvidence({ aliveProcesses: [instanceProcess] });
   }
 
-  /** Merges evidence of another entry VM, and disputes what this one knows better. */
-  merge({ crashes, aliveProcesses, completed }: CrashEvidence): void {
+  /** Merges evidence of another entry VM, and tells this one what it does not know. */
+  merge({ crashes, aliveProcesses, completed }: CrashEvidence, fromHost: string): void {
     for (const instanceProcess of aliveProcesses) this.ledger.voidCrash(instanceProcess);
-    for (const fingerprint of completed) this.ledger.recordCompletion(fingerprint);
-    const known = crashes.filter(({ fingerprint }) => this.ledger.isCompleted(fingerprint));
+    for (const fingerprint of completed) this.mergeCompletion(fingerprint);
+    const disputed = crashes
+      .map(({ fingerprint }) => fingerprint)
+      .filter((fingerprint) => this.ledger.isCompleted(fingerprint));
     for (const report of crashes) this.ledger.recordCrash(report);
-    this.forgetReports(({ fingerprint }) => this.ledger.isCompleted(fingerprint));
-    if (known.length === 0) return;
-    this.sendEvidence({ completed: [...new Set(known.map(({ fingerprint }) => fingerprint))] });
+    if (disputed.length === 0) return;
+    this.options.send(createEvidence({ completed: [...new Set(disputed)] }), [fromHost]);
+  }
+
+  /** The member that has reported a request tells all others of the first dispute. */
+  private mergeCompletion(fingerprint: string): void {
+    this.ledger.recordCompletion(fingerprint);
+    const isReporter = [...this.resends.keys()].some(
+      (report) => report.fingerprint === fingerprint,
+    );
+    if (!isReporter) return;
+    this.forgetReports((report) => report.fingerprint === fingerprint);
+    this.sendEvidence({ completed: [fingerprint] });
   }
 
   /** Confirms suspicions that nobody disputed, and sends recent reports again. */
@@ -136,10 +153,7 @@
   }
 
   private sendEvidence(evidence: Partial<CrashEvidence>): void {
-    this.options.send({
-      kind: 'crashes',
-      evidence: { crashes: [], aliveProcesses: [], completed: [], ...evidence },
-    });
+    this.options.send(createEvidence(evidence));
   }
 
   private logQuarantine({ fingerprint, untilWallMs }: Quarantine, source: string): void {
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -151,7 +151,7 @@
       clock,
       log: this.log,
       metrics: this.metrics,
-      send: (message) => this.control.sendToMembers(message),
+      send: (message, hosts) => this.control.sendToMembers(message, hosts),
     });
     this.control = ControlPlane.create({
       clock,
