Take members that do not know the path for ones that decline

Callers would have got 502 during an upgrade in which members are cut off from all instances: members of earlier builds answer a request that is handed on with 404, which counted as an unknown outcome, although they certainly have not run it. Found by reading; not seen.

Change: any status but 200 is a decline, and the next member is asked.

--- a/packages/gatewayDaemon/src/requestForwarder.ts
+++ b/packages/gatewayDaemon/src/requestForwarder.ts
@@ -43,6 +43,8 @@
   | { readonly kind: 'replied'; readonly reply: ForwardReply }
   | { readonly kind: 'failed'; readonly isSent: boolean; readonly detail: string };
 
+const HTTP_OK = 200;
+
 const readAll = async (message: IncomingMessage): Promise<Buffer> => {
   const chunks: Buffer[] = [];
   for await (const chunk of message) chunks.push(chunk as Buffer);
@@ -205,6 +207,13 @@
       });
       httpRequest.on('error', fail);
       httpRequest.on('response', (message) => {
+        if (message.statusCode !== HTTP_OK) {
+          // Members of earlier builds do not know the path.
+          const reason = `status ${message.statusCode}`;
+          message.resume();
+          finish({ kind: 'replied', reply: { kind: 'declined', reason } });
+          return;
+        }
         readAll(message)
           .then((data) => finish({ kind: 'replied', reply: decodeForwardReply(data) }))
           .catch(fail);
