Use one word for forwarded requests in the code

No behaviour changes: a request that one member gives to another was called forwarded in names and handed on in comments, one method name and one log line. The log line 'request handed on' is 'request forwarded' now.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -420,13 +420,13 @@
  */
 export const QUARANTINE_RETRY_AFTER_MS = 60_000;
 
-/** Path of the requests that one entry VM hands on to another one. */
+/** Path of the requests that one entry VM forwards to another one. */
 export const FORWARD_PATH = '/forward/1';
 
 /** Members that a request is offered to, one after the other, until one does not decline it. */
 export const MAX_FORWARD_ATTEMPTS = 3;
 
-/** Requests that this entry VM hands on at the same time. */
+/** Requests that this entry VM forwards at the same time. */
 export const MAX_FORWARDS = 512;
 
 /** Forwarded requests that this entry VM handles at the same time. */
@@ -444,7 +444,7 @@
 /** Time after which a member closes an idle connection of another one. */
 export const PEER_CONNECTION_IDLE_MS = 15_000;
 
-/** A request is handed on only to members that were heard within this time. */
+/** A request is forwarded only to members that were heard within this time. */
 export const FORWARDER_MAX_AGE_MS = 2_200;
 
 /** Interval of probes that show whether a service is reached again. */
--- a/packages/gatewayDaemon/src/forwardCodec.ts
+++ b/packages/gatewayDaemon/src/forwardCodec.ts
@@ -4,7 +4,7 @@
 
 import type { FailureReason, GatewayAnswer, RefusalReason } from './types.js';
 
-/** A caller's request that one entry VM hands on to another one. */
+/** A caller's request that one entry VM forwards to another one. */
 export interface ForwardedRequest {
   readonly requestId: string;
   readonly method: string;
--- a/packages/gatewayDaemon/src/forwardReceiver.ts
+++ b/packages/gatewayDaemon/src/forwardReceiver.ts
@@ -18,7 +18,7 @@
   readonly findService: (name: string) => ServiceRuntime | undefined;
 }
 
-/** Handles requests of callers that other entry VMs hand on, and hands none of them on again. */
+/** Handles requests of callers that other entry VMs forward, and forwards none of them again. */
 export class ForwardReceiver {
   private receivedCount = 0;
 
--- a/packages/gatewayDaemon/src/memberTable.ts
+++ b/packages/gatewayDaemon/src/memberTable.ts
@@ -55,7 +55,7 @@
   'vmId' | 'failureDomainId' | 'callerEndpoint' | 'phase' | 'isCutOff'
 >;
 
-/** What a member has to fulfill to be handed a request on. */
+/** What a member has to fulfill for a request to be forwarded to it. */
 export interface ForwarderNeed {
   readonly service: ServiceName;
   readonly minVersion: number;
--- a/packages/gatewayDaemon/src/peerNetwork.ts
+++ b/packages/gatewayDaemon/src/peerNetwork.ts
@@ -49,7 +49,7 @@
   readonly sendBytesPerInterval: number;
   readonly onMessage: (message: PeerMessage, fromHost: string) => void;
   readonly createState: (query: PeerStateQuery) => PeerState;
-  /** Answers a request of a caller that another member hands on. */
+  /** Answers a request of a caller that another member forwards. */
   readonly onForward: (message: IncomingMessage, response: ServerResponse) => Promise<void>;
 }
 
@@ -107,7 +107,7 @@
 
 /**
  * Sends heartbeats and changes as UDP datagrams, and answers requests for missed state and requests
- * of callers that other entry VMs hand on over HTTP.
+ * of callers that other entry VMs forward over HTTP.
  */
 export class PeerNetwork {
   private readonly socket: Socket;
--- a/packages/gatewayDaemon/src/requestContext.ts
+++ b/packages/gatewayDaemon/src/requestContext.ts
@@ -79,7 +79,7 @@
     return this.hasAmbiguousAttempt;
   }
 
-  /** Whether another member handed the request on, so that it must not be handed on again. */
+  /** Whether another member forwarded the request, so that it must not be forwarded again. */
   get isForwarded(): boolean {
     return this.options.request.forwardedService !== undefined;
   }
--- a/packages/gatewayDaemon/src/requestForwarder.ts
+++ b/packages/gatewayDaemon/src/requestForwarder.ts
@@ -31,7 +31,7 @@
   readonly configurationVersion: () => number;
 }
 
-/** Outcome of handing a request on. */
+/** Outcome of forwarding a request. */
 export type ForwardOutcome =
   | { readonly kind: 'answered'; readonly answer: GatewayAnswer }
   /** No other entry VM has begun to handle the request. */
@@ -52,7 +52,7 @@
 };
 
 /**
- * Hands requests that this entry VM cannot serve on to members that reach the instances. A request
+ * Forwards requests that this entry VM cannot serve to members that reach the instances. A request
  * reaches a second member only if the first one certainly has not begun to handle it.
  */
 export class RequestForwarder {
@@ -74,7 +74,7 @@
     return new RequestForwarder(options);
   }
 
-  /** Hands a request on to one member. Never rejects. */
+  /** Forwards a request to one member. Never rejects. */
   async forward(context: RequestContext): Promise<ForwardOutcome> {
     const { members, configurationVersion } = this.options;
     const { service, route } = context;
@@ -124,7 +124,7 @@
         domain: this.isNear(status) ? 'same' : 'other',
       })
       .increment();
-    log.info(LogComponent.forward, 'request handed on', {
+    log.info(LogComponent.forward, 'request forwarded', {
       request: context.request.requestId,
       service: context.service.name,
       member: status.vmId,
--- a/packages/gatewayDaemon/src/requestHandler.ts
+++ b/packages/gatewayDaemon/src/requestHandler.ts
@@ -125,7 +125,7 @@
   private async run(context: RequestContext): Promise<GatewayAnswer> {
     const { route, request } = context;
     if (context.service.reachabilityState === 'unreached') {
-      const answer = await this.handOn(context);
+      const answer = await this.tryForward(context);
       if (answer !== undefined) return answer;
     }
     for (;;) {
@@ -138,7 +138,7 @@
       const acceptsSlow = context.service.utilization < MAX_SLOW_INSTANCE_UTILIZATION;
       const found = await this.search(context, searchMs, acceptsSlow);
       if (typeof found === 'string') {
-        return (await this.handOn(context)) ?? this.answerSearchFailure(context, found);
+        return (await this.tryForward(context)) ?? this.answerSearchFailure(context, found);
       }
       // Another entry VM may have reported a crash during the search.
       if (this.isQuarantined(context)) {
@@ -153,7 +153,7 @@
         ? await this.sendWithHedge(context, found)
         : await this.send(context, found, request.signal);
       if (ended.attempt.kind === 'not-sent') {
-        const forwarded = await this.handOn(context);
+        const forwarded = await this.tryForward(context);
         if (forwarded !== undefined) return forwarded;
       }
       const answer = this.decideAfterAttempt(context, ended);
@@ -165,10 +165,10 @@
   }
 
   /**
-   * Hands a request that certainly has not run on to a member that reaches the instances; undefined
+   * Forwards a request that certainly has not run to a member that reaches the instances; undefined
    * if this entry VM reaches them or no other one can handle the request.
    */
-  private async handOn(context: RequestContext): Promise<GatewayAnswer | undefined> {
+  private async tryForward(context: RequestContext): Promise<GatewayAnswer | undefined> {
     const { request, service, isForwarded, sentAttemptCount } = context;
     if (isForwarded || sentAttemptCount > 0 || request.signal.aborted) return undefined;
     if (service.reachabilityState === 'reached') return undefined;
--- a/packages/gatewayDaemon/src/types.ts
+++ b/packages/gatewayDaemon/src/types.ts
@@ -145,7 +145,7 @@
   readonly callerWaitMs: number;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
-  /** Service for which another member handed the request on; undefined from a caller itself. */
+  /** Service for which another member forwarded the request; undefined from a caller itself. */
   readonly forwardedService?: ServiceName | undefined;
 }
 
--- a/packages/gatewayDaemon/tests/forwardCodec.test.ts
+++ b/packages/gatewayDaemon/tests/forwardCodec.test.ts
@@ -44,7 +44,7 @@
   }),
 );
 
-describe('requests that are handed on', () => {
+describe('forwarded requests', () => {
   // Guards against bytes or fields that are lost between two members.
   it('arrive as they were sent, and their replies too', () => {
     fc.assert(
