Withdraw reports of a crash on responses of the same instance only

Cause: a response at the address of an instance that had ended counted as one of this instance, also if the next process there had sent it. The reports of its end were then withdrawn, and the request was sent on.

Change: only a response that names the instance, or one to a request that names it, shows that it has not ended.

--- a/packages/gatewayDaemon/src/instanceRuntime.ts
+++ b/packages/gatewayDaemon/src/instanceRuntime.ts
@@ -40,7 +40,7 @@
   /** Limits the bytes of responses that the process buffers. */
   readonly bufferBudget: BufferBudget;
   readonly onViolation: (name: 'whole-answer', detail: string) => void;
-  /** Called for each response with the monotonic time at which its request was sent. */
+  /** Called for each response of the instance itself with the monotonic send time of its request. */
   readonly onResponse: (instance: InstanceRuntime, sentAtMs: number) => void;
   /** Called with what each attempt shows of the way to the instance. */
   readonly onEvidence: (instance: InstanceRuntime, evidence: ReachabilityEvidence) => void;
@@ -290,11 +290,11 @@
     if (attempt.kind === 'answered' || attempt.kind === 'refused') {
       this.lastResponseAtMs = this.now();
       this.options.onEvidence(this, acquired.isNew ? 'response-on-new-connection' : 'response');
-      this.options.onResponse(this, startedAtMs);
+      const isProbe = request.requestId === PROBE_REQUEST_ID;
+      if (this.isOwnResponse(attempt, isProbe)) this.options.onResponse(this, startedAtMs);
       this.recordLoad(attempt.response.load);
       if (attempt.response.load.state === 'draining') this.hasStatedLeaving = true;
       this.recordPause(attempt.response);
-      const isProbe = request.requestId === PROBE_REQUEST_ID;
       this.recordLimit(attempt.response.load.maxRequestsPerS, startedAtMs, isProbe);
     } else if (isUnanswered(attempt)) {
       this.options.onEvidence(this, 'no-response');
@@ -356,6 +356,14 @@
     };
   }
 
+  /** Whether a response shows that this instance runs, and not another one at its address. */
+  private isOwnResponse(attempt: BackendAttempt, isProbe: boolean): boolean {
+    if (attempt.kind !== 'answered') return false;
+    const { instanceId } = attempt.response.load;
+    // A request names the instance that it expects, and another one would refuse it.
+    return instanceId === undefined ? !isProbe : instanceId === this.id;
+  }
+
   private recordPause({ status, load: { pauseMs } }: BackendResponse): void {
     if (status !== HTTP_UNAVAILABLE || pauseMs === undefined) return;
     this.pauseUntilMs = Math.max(this.pauseUntilMs, this.now() + pauseMs);
