--- a/packages/admission/src/crashLedger.ts
+++ b/packages/admission/src/crashLedger.ts
@@ -37,9 +37,8 @@
 };
 
 /**
- * Tells a request that crashes instances from those that ran beside it. A request is quarantined
- * after it was present when several instance processes ended and was nowhere completed meanwhile;
- * one that crashes each instance never is completed. Requests are known by their fingerprints only.
+ * Tells a request that crashes instances from those that ran beside it: it was present when several
+ * instance processes ended, and was completed nowhere meanwhile. Keeps fingerprints only.
  */
 export class CrashLedger {
   /** Time of each crash at which a request was present, by instance process. */
