Take no copy of an earlier answer for a refusal or an answer

Callers saw: 503 with a Retry-After for an order that an instance was running, when a faulty instance wrote an earlier refusal once more on a kept connection without an id (REFUSED); with the same request sent again over that connection, a second run after a copy that carried the id. Cause: a refusal counted as proof without naming a request, and a connection could carry a request that it had refused before, whose copies name it rightly. The entry daemon does that when no other instance has a slot; the gateway excludes tried instances, by chance of another rule. A connection remembers the last 64 requests that it refused or failed, carries none of them again, and is closed when it remembers 64.

--- a/packages/backendClient/src/backendPool.ts
+++ b/packages/backendClient/src/backendPool.ts
@@ -4,6 +4,7 @@
   DEFAULT_CONNECT_TIMEOUT_MS,
   DEFAULT_IDLE_TIMEOUT_MS,
   DEFAULT_MAX_BODY_BYTES,
+  PROBE_REQUEST_ID,
 } from './constants.js';
 import { describeClose, findResponseProblem } from './attemptChecks.js';
 import { openSocket } from './openSocket.js';
@@ -23,6 +24,13 @@
   PoolStats,
 } from './types.js';
 
+const HTTP_SERVER_ERROR = 500;
+
+/** Whether a request that was answered may be sent once more. */
+const isRepeatable = (attempt: BackendAttempt): boolean =>
+  attempt.kind === 'refused' ||
+  (attempt.kind === 'answered' && attempt.response.status >= HTTP_SERVER_ERROR);
+
 /** Pool of connections to one instance; each carries one request at a time. */
 export class BackendPool {
   /** Idle connections, ordered by last use; the most recent one is last. */
@@ -116,6 +124,11 @@
       const detail = `connection ${connection.id} to ${this.peer} is closed`;
       return { kind: 'not-sent', reason: 'connection-closed', detail, durationMs: 0 };
     }
+    if (reserved.hasFailed(request.requestId)) {
+      const detail = `connection ${connection.id} to ${this.peer} has carried the request before`;
+      reserved.close('in-doubt', detail);
+      return { kind: 'not-sent', reason: 'connection-closed', detail, durationMs: 0 };
+    }
     if (signal?.aborted || request.timeoutMs <= 0) {
       this.returnToIdle(reserved);
       const reason = signal?.aborted ? 'cancelled' : 'expired';
@@ -134,6 +147,9 @@
       isEndedByReset: () => reserved.isEndedByReset,
     };
     const result = await sendAttempt(request, context, signal);
+    if (isRepeatable(result.attempt) && request.requestId !== PROBE_REQUEST_ID) {
+      reserved.markFailed(request.requestId);
+    }
     return this.finishAttempt(reserved, result, sentAtMs);
   }
 
@@ -222,6 +238,7 @@
     }
     if (result.isReusable && attempt === result.attempt) {
       this.returnToIdle(connection);
+      if (connection.hasFailedTooMany) connection.close('in-doubt', 'too many failed requests');
       return attempt;
     }
     const { reason, detail } = describeClose(attempt);
--- a/packages/backendClient/src/constants.ts
+++ b/packages/backendClient/src/constants.ts
@@ -71,3 +71,9 @@
 
 /** Bytes of responses that a process buffers at the same time, over all pools. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 67_108_864;
+
+/** Refused and failed requests that a connection remembers; with this many it is closed. */
+export const MAX_FAILED_IDS = 64;
+
+/** Request id that marks a probe inside the process; probes are sent without an id. */
+export const PROBE_REQUEST_ID = '';
--- a/packages/backendClient/src/poolConnection.ts
+++ b/packages/backendClient/src/poolConnection.ts
@@ -3,7 +3,7 @@
 import { describeError } from '@bronzelift/common';
 import type { InstanceId } from '@bronzelift/common';
 
-import { IDLE_CLOSE_MARGIN_MS } from './constants.js';
+import { IDLE_CLOSE_MARGIN_MS, MAX_FAILED_IDS } from './constants.js';
 import type { BackendConnection, CloseReason, ConnectionRequirements } from './types.js';
 
 /** A pooled connection and its socket; closes itself on unexpected data or errors. */
@@ -19,6 +19,9 @@
 
   private hasEndedByReset = false;
 
+  /** Requests that the backend server refused or failed on this connection. */
+  private readonly failedIds = new Set<string>();
+
   private closing: { readonly reason: CloseReason; readonly detail: string } | undefined;
 
   private constructor(
@@ -106,6 +109,24 @@
     if (idleTimeoutMs !== undefined) this.maxIdleMs = idleTimeoutMs - IDLE_CLOSE_MARGIN_MS;
   }
 
+  /** Records that the backend server refused or failed a request on this connection. */
+  markFailed(requestId: string): void {
+    this.failedIds.add(requestId);
+  }
+
+  /**
+   * Whether the connection must not carry a request again: a late copy of its first answer would
+   * name the same request.
+   */
+  hasFailed(requestId: string): boolean {
+    return this.failedIds.has(requestId);
+  }
+
+  /** Whether the connection cannot remember another failed request. */
+  get hasFailedTooMany(): boolean {
+    return this.failedIds.size >= MAX_FAILED_IDS;
+  }
+
   /** Whether the connection has been idle for so long that its backend server may close it. */
   isStale(nowMs: number): boolean {
     return nowMs - this.lastVerifiedAtMs > this.maxIdleMs;
--- a/packages/backendClient/src/sendAttempt.ts
+++ b/packages/backendClient/src/sendAttempt.ts
@@ -7,7 +7,12 @@
 
 import { BodyCollector } from './bodyCollector.js';
 import type { BufferBudget } from './bufferBudget.js';
-import { MAX_OVERHEAD_BYTES, MAX_OVERHEAD_SHARE, MAX_TIMER_MS } from './constants.js';
+import {
+  MAX_OVERHEAD_BYTES,
+  MAX_OVERHEAD_SHARE,
+  MAX_TIMER_MS,
+  PROBE_REQUEST_ID,
+} from './constants.js';
 import type {
   BackendAttempt,
   BackendDialect,
@@ -136,6 +141,15 @@
       this.fail('mismatched', `the response names request ${answeredId}, expected ${requestId}`);
       return;
     }
+    // Without an id, it may be a second copy of an earlier refusal on this connection.
+    const isUnnamedRefusal =
+      answeredId === undefined &&
+      requestId !== PROBE_REQUEST_ID &&
+      dialect.isRefusal(response.statusCode!, response.headers);
+    if (isUnnamedRefusal) {
+      this.fail('mismatched', 'the refusal names no request');
+      return;
+    }
     const problem = dialect.findHeadProblem(this.request, response.statusCode!, response.headers);
     if (problem !== undefined) {
       this.fail('mismatched', problem);
--- a/packages/backendClient/tests/backendPool.test.ts
+++ b/packages/backendClient/tests/backendPool.test.ts
@@ -6,7 +6,7 @@
 import { ManualClock, SystemClock } from '@bronzelift/common';
 import type { Clock } from '@bronzelift/common';
 
-import { BackendPool } from '../src/index.js';
+import { BackendPool, MAX_FAILED_IDS } from '../src/index.js';
 import type { BackendAttempt, BackendRequest, ConnectionRequirements } from '../src/index.js';
 import { RawServer, formatResponse } from './rawServer.js';
 import type { RawHandler } from './rawServer.js';
@@ -236,6 +236,44 @@
     expect(pool.stats().idle).to.equal(1);
   });
 
+  // Guards against a request that runs and is reported as not run, because the backend server sent
+  // an earlier refusal again.
+  it('does not take a refusal without a request id as proof that the request has not run', async () => {
+    server.handler = (socket, { requestId }) => {
+      socket.write(formatResponse(requestId, 'busy', 'x-not-run: 1\r\n'));
+    };
+    await send();
+    server.handler = (socket) => {
+      socket.write('HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n');
+    };
+    expectFailure(await send(), 'mismatched');
+  });
+
+  // Guards against the second try of a refused request that takes a late copy of its first refusal
+  // for its own answer.
+  it('does not send a refused request again over the connection of its refusal', async () => {
+    server.handler = (socket, { requestId }) => {
+      socket.write(formatResponse(requestId, 'busy', 'x-not-run: 1\r\n'));
+    };
+    const request = createRequest();
+    expect((await pool.send(request, await open())).kind).to.equal('refused');
+    server.handler = respondWithBody;
+    expect((await pool.send(request, await open())).kind).to.equal('not-sent');
+    expect((await pool.send(request, await open())).kind).to.equal('answered');
+    expect(server.requests.map(({ connection }) => connection)).to.deep.equal([0, 1]);
+    expect(closeReasons).to.deep.equal(['in-doubt']);
+  });
+
+  // Guards against a connection that forgets which requests it has refused, or remembers all.
+  it('closes a connection that has refused as many requests as it can remember', async () => {
+    server.handler = (socket, { requestId }) => {
+      socket.write(formatResponse(requestId, 'busy', 'x-not-run: 1\r\n'));
+    };
+    for (let index = 0; index < MAX_FAILED_IDS; index += 1) await send();
+    expect(closeReasons).to.deep.equal(['in-doubt']);
+    expect(server.sockets).to.have.length(1);
+  });
+
   it('reports a response above the size limit as too large, and closes the connection', async () => {
     server.handler = (socket, { requestId }) => {
       socket.write(formatResponse(requestId, 'x'.repeat(2000)));
--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -297,9 +297,6 @@
  */
 export const PROBE_ATTEMPT_TIMEOUT_MS = 300;
 
-/** Request id that marks a probe inside the process; probes are sent without an id. */
-export const PROBE_REQUEST_ID = '';
-
 /**
  * Search time before a retry; it is short because the first search has already used part of the
  * time.
--- a/packages/gatewayDaemon/src/index.ts
+++ b/packages/gatewayDaemon/src/index.ts
@@ -1,5 +1,4 @@
 export { GatewayDaemon } from './gatewayDaemon.js';
 export type { GatewayDaemonOptions } from './gatewayDaemon.js';
-export { PROBE_REQUEST_ID } from './constants.js';
 export type { Quarantine } from '@bronzelift/admission';
 export type * from './types.js';
--- a/packages/gatewayDaemon/src/instanceRuntime.ts
+++ b/packages/gatewayDaemon/src/instanceRuntime.ts
@@ -1,4 +1,4 @@
-import { BackendPool, isConnectionRefused } from '@bronzelift/backend-client';
+import { BackendPool, PROBE_REQUEST_ID, isConnectionRefused } from '@bronzelift/backend-client';
 import type {
   BackendAttempt,
   BackendDialect,
@@ -26,7 +26,6 @@
   LIMIT_CHECK_INTERVAL_MS,
   MAX_RESPONSE_BYTES,
   MAX_CONNECTION_CHECK_AGE_MS,
-  PROBE_REQUEST_ID,
 } from './constants.js';
 import type { InstanceRecord } from './types.js';
 
--- a/packages/gatewayDaemon/src/prober.ts
+++ b/packages/gatewayDaemon/src/prober.ts
@@ -1,10 +1,11 @@
+import { PROBE_REQUEST_ID } from '@bronzelift/backend-client';
 import type { BackendAttempt } from '@bronzelift/backend-client';
 import type { Clock } from '@bronzelift/common';
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 import { toAttemptObservation } from '@bronzelift/routing';
 
-import { PROBE_ATTEMPT_TIMEOUT_MS, PROBE_REQUEST_ID } from './constants.js';
+import { PROBE_ATTEMPT_TIMEOUT_MS } from './constants.js';
 import type { InstanceRuntime } from './instanceRuntime.js';
 import type { ServiceRuntime } from './serviceRuntime.js';
 
