Forward each request to a member over a connection of its own

Callers saw: nothing yet; found while looking for copies of answers. A copy of an earlier reply on a kept connection between members was taken for the reply to the next request: as "declined", so that a second member ran an order that the first one was running (TWICE). Cause: replies do not name their request, and connections were kept. Evidence: requestForwarder.test.ts, "does not take a second copy of a reply", ended as not-sent on the code before; it ends as unknown now. Change: no connection is kept. Only cut-off members forward requests, and earlier builds understand it, which a required id in replies would not be.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -435,9 +435,6 @@
 /** Time limit for a connection to a member. */
 export const FORWARD_CONNECT_TIMEOUT_MS = 100;
 
-/** Time after which an unused connection to a member is closed. */
-export const FORWARD_IDLE_MS = 5_000;
-
 /** Time after which a member closes an idle connection of another one. */
 export const PEER_CONNECTION_IDLE_MS = 15_000;
 
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -305,7 +305,6 @@
     this.control.stop();
     clearInterval(this.sweepTimer);
     this.reach.stop();
-    this.forwarder.close();
     for (const service of this.services.values()) service.close();
     for (const server of this.servers) server.close();
   }
--- a/packages/gatewayDaemon/src/requestForwarder.ts
+++ b/packages/gatewayDaemon/src/requestForwarder.ts
@@ -1,4 +1,4 @@
-import { Agent, request as createHttpRequest } from 'node:http';
+import { request as createHttpRequest } from 'node:http';
 import type { IncomingMessage } from 'node:http';
 
 import { describeError } from '@bronzelift/common';
@@ -9,7 +9,6 @@
 import {
   FAR_FORWARD_PENALTY,
   FORWARD_CONNECT_TIMEOUT_MS,
-  FORWARD_IDLE_MS,
   FORWARD_PATH,
   MAX_FORWARDS,
   MAX_FORWARD_ATTEMPTS,
@@ -56,13 +55,6 @@
  * reaches a second member only if the first one certainly has not begun to handle it.
  */
 export class RequestForwarder {
-  private readonly agent = new Agent({
-    keepAlive: true,
-    noDelay: true,
-    // Below the time after which members close idle connections, so that none closes as it is used.
-    timeout: FORWARD_IDLE_MS,
-  });
-
   /** Requests in flight by host. */
   private readonly inFlightByHost = new Map<string, number>();
 
@@ -92,11 +84,6 @@
     return { kind: 'not-sent' };
   }
 
-  /** Closes all connections to members. */
-  close(): void {
-    this.agent.destroy();
-  }
-
   /** Fewest requests in flight first, near members before others; the candidates are shuffled. */
   private orderByLoad(candidates: readonly Member[]): Member[] {
     const calculateCost = ({ host, status }: Member): number =>
@@ -174,7 +161,8 @@
         method: 'POST',
         path: FORWARD_PATH,
         headers: { 'content-length': body.length },
-        agent: this.agent,
+        // On a connection of its own, no reply to an earlier request can be taken for its reply.
+        agent: false,
       });
       const abort = (): void => {
         httpRequest.destroy(new Error('the caller disconnected'));
@@ -198,12 +186,9 @@
       request.signal.addEventListener('abort', abort, { once: true });
       httpRequest.on('socket', (socket) => {
         // Nothing is written before the connection is open.
-        if (!socket.connecting) isConnected = true;
-        else {
-          socket.once('connect', () => {
-            isConnected = true;
-          });
-        }
+        socket.once('connect', () => {
+          isConnected = true;
+        });
       });
       httpRequest.on('error', fail);
       httpRequest.on('response', (message) => {
--- a/packages/gatewayDaemon/tests/requestForwarder.test.ts
+++ b/packages/gatewayDaemon/tests/requestForwarder.test.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events';
 import { createServer } from 'node:http';
 import type { RequestListener, Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 
 import { expect } from 'chai';
 
@@ -25,14 +25,14 @@
     server?.closeAllConnections();
   });
 
-  /** Forwards a request to two members at 127.0.0.1, of which both answer in the given way. */
-  const forward = async (answer: RequestListener) => {
+  /** Creates a forwarder to two members at 127.0.0.1, of which both answer in the given way. */
+  const createForwarder = async (answer: RequestListener): Promise<RequestForwarder> => {
     const listening = createServer(answer).listen(0, '127.0.0.1');
     server = listening;
     await once(listening, 'listening');
     const { port } = listening.address() as AddressInfo;
     const member = { status: { failureDomainId: 'a' }, host: '127.0.0.1' } as Member;
-    const forwarder = RequestForwarder.create({
+    return RequestForwarder.create({
       clock,
       log: DecisionLog.create({ clock, sink: () => Promise.resolve() }),
       metrics: Metrics.create(),
@@ -40,8 +40,11 @@
       settings: { peerPort: port, failureDomainId: 'a' } as GatewaySettings,
       configurationVersion: () => 1,
     });
+  };
+
+  const createContext = (): RequestContext => {
     const nowMs = clock.monotonicMs();
-    const outcome = await forwarder.forward({
+    return {
       request: {
         requestId: 'r',
         method: 'GET',
@@ -55,11 +58,12 @@
       service: { name: 's' },
       route: { allowedRegions: [] },
       deadlineAtMs: nowMs + WAIT_MS,
-    } as unknown as RequestContext);
-    forwarder.close();
-    return outcome;
+    } as unknown as RequestContext;
   };
 
+  const forward = async (answer: RequestListener) =>
+    (await createForwarder(answer)).forward(createContext());
+
   // Guards against callers that get an error during an upgrade, as the path is not known everywhere.
   it('takes a member that does not know the path for one that declines', async () => {
     let received = 0;
@@ -98,6 +102,28 @@
     expect(outcome.kind).to.equal('unknown');
   });
 
+  // Guards against a request that a member runs and that is reported as declined or answered,
+  // because the reply to an earlier one arrived again.
+  it('does not take a second copy of a reply for the reply to the next request', async () => {
+    const declined = encodeForwardReply({ kind: 'declined', reason: 'not ready' });
+    const usedSockets: Socket[] = [];
+    const forwarder = await createForwarder((message, response) => {
+      message.resume();
+      if (usedSockets.push(message.socket) <= 2) {
+        response.end(declined);
+        return;
+      }
+      const head = `HTTP/1.1 200 OK\r\nContent-Length: ${declined.length}\r\n\r\n`;
+      for (const socket of new Set(usedSockets.slice(0, 2))) {
+        if (!socket.destroyed) socket.write(Buffer.concat([Buffer.from(head), declined]));
+      }
+    });
+    expect(await forwarder.forward(createContext())).to.deep.equal({ kind: 'not-sent' });
+    const outcome = await forwarder.forward(createContext());
+    expect(outcome).to.deep.equal({ kind: 'unknown', isTimeout: true });
+    expect(usedSockets).to.have.length(3);
+  });
+
   // Guards against requests that are held beyond their deadline by a member that hangs.
   it('ends at the deadline when a member does not answer', async () => {
     const startedAtMs = clock.monotonicMs();
