Leave out odd registrations, records and messages as a whole

A datagram in which a name is an object or a deeply nested array ended every member that it reached, and again after each restart. A registration with a start or a sequence of 2^53 - 1 hid all later ones of its instance; one with port 0, a host name, 10^15 slots or a cold time of 10^24 ms was used; one odd item failed the whole page of newest records, so that a starting member had no instances; a record whose key length exceeds the record removed the instance whose key it holds a part of; a state of a peer was adopted unchecked, so that a missing revision made all later ones old. Cause: each decoder checked types of some fields, none checked ranges; names were converted with String, which throws for some JSON values. Change: fieldBounds.ts bounds every field of a registration, in the store and between members alike, so that all members agree; decoders of messages, limits, quarantines, members, peer states and forwarded requests use the same bounds. An odd registration counts as the removal of its instance, as the users' page says that it names none; the next true one brings it back. Pauses and cold times that instances state are bounded, too. Each odd record is logged once a minute and counted in bronzelift_records_left_out_total. Remains: a registration that is odd but plausible in each field, such as a start in 2090, holds until a newer process of its instance registers.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -461,3 +461,39 @@
 
 /** Requests in flight at a near member from which on a member of another failure domain is used. */
 export const FAR_FORWARD_PENALTY = 6;
+
+/** Characters of the longest name of an instance, a service, a failure domain or an entry VM. */
+export const MAX_NAME_CHARS = 128;
+
+/** Largest number of slots of an instance. */
+export const MAX_SLOTS = 4_096;
+
+/** Longest time for which an instance can be cold. */
+export const MAX_COLD_MS = 3_600_000;
+
+/** Longest time for which an instance can ask for a pause. */
+export const MAX_PAUSE_MS = 60_000;
+
+/** Latest point in time in Unix milliseconds, the end of the year 2099. */
+export const MAX_WALL_MS = 4_102_444_800_000;
+
+/** Largest count, such as the sequence of a registration that is renewed every second. */
+export const MAX_COUNT = 2 ** 31 - 1;
+
+/** Largest number of times that the store can be restored from a copy. */
+export const MAX_ERA = 4_096;
+
+/** Most names or texts in a list of a message. */
+export const MAX_LISTED_TEXTS = 1_024;
+
+/** Characters of the longest text in a list of a message, such as two names. */
+export const MAX_LISTED_TEXT_CHARS = 300;
+
+/** Largest request limit of an instance. */
+export const MAX_REQUESTS_PER_S = 1_000_000;
+
+/** Interval at which the same record is logged again as left out. */
+export const LEFT_OUT_LOG_INTERVAL_MS = 60_000;
+
+/** Records that are remembered as left out, so that each is logged once. */
+export const MAX_LEFT_OUT_RECORDS = 1_024;
--- a/packages/gatewayDaemon/src/forwardCodec.ts
+++ b/packages/gatewayDaemon/src/forwardCodec.ts
@@ -2,6 +2,7 @@
 
 import type { ServiceName } from '@bronzelift/common';
 
+import { isNumberWithin } from './fieldBounds.js';
 import type { FailureReason, GatewayAnswer, RefusalReason } from './types.js';
 
 /** A caller's request that one entry VM forwards to another one. */
@@ -47,6 +48,16 @@
   return { head, body: data.subarray(end) };
 };
 
+const isHeaderValue = (value: unknown): boolean =>
+  typeof value === 'string' ||
+  (Array.isArray(value) && value.every((item) => typeof item === 'string'));
+
+const isHeaderFields = (headers: unknown): boolean =>
+  typeof headers === 'object' &&
+  headers !== null &&
+  !Array.isArray(headers) &&
+  Object.values(headers).every(isHeaderValue);
+
 /** Encodes a request with its body. */
 export const encodeForwardedRequest = (request: ForwardedRequest): Buffer => {
   const { body, callerWaitMs, ...head } = request;
@@ -57,14 +68,20 @@
 /** Decodes a request; throws if the message is malformed. */
 export const decodeForwardedRequest = (data: Buffer): ForwardedRequest => {
   const { head, body } = decodeFrame(data);
-  const { hasBody, callerWaitMs, ...fields } = head as Omit<ForwardedRequest, 'callerWaitMs'> & {
+  const { hasBody, callerWaitMs, ...fields } = (head ?? {}) as Omit<
+    ForwardedRequest,
+    'callerWaitMs'
+  > & {
     readonly hasBody: boolean;
     readonly callerWaitMs: number | null;
   };
   const texts = [fields.requestId, fields.method, fields.path, fields.service];
-  if (!texts.every((text) => typeof text === 'string') || typeof fields.headers !== 'object') {
-    throw new Error('the message is not a request');
-  }
+  const isRequest =
+    texts.every((text) => typeof text === 'string') &&
+    isHeaderFields(fields.headers) &&
+    isNumberWithin(fields.elapsedMs, 0, Number.MAX_VALUE) &&
+    (callerWaitMs === null || isNumberWithin(callerWaitMs, 0, Number.MAX_VALUE));
+  if (!isRequest) throw new Error('the message is not a request');
   return { ...fields, callerWaitMs: callerWaitMs ?? Infinity, body: hasBody ? body : undefined };
 };
 
--- a/packages/gatewayDaemon/src/forwardReceiver.ts
+++ b/packages/gatewayDaemon/src/forwardReceiver.ts
@@ -37,7 +37,8 @@
 
   /** Answers one HTTP request of another entry VM; rejects if it is malformed or cut off. */
   async answer(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const bytes = Number(message.headers['content-length'] ?? 0);
+    // Without a length, a request without an end would be read.
+    const bytes = Number(message.headers['content-length'] ?? MAX_FORWARDED_BYTES + 1);
     this.receivedCount += 1;
     this.receivedBytes += bytes;
     try {
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -25,6 +25,7 @@
 import { ForwardReceiver } from './forwardReceiver.js';
 import { InstanceFinder } from './instanceFinder.js';
 import type { InstanceRuntime } from './instanceRuntime.js';
+import { LeftOutRecords } from './leftOutRecords.js';
 import { LimitExchange } from './limitExchange.js';
 import { MemberTable } from './memberTable.js';
 import type { MemberStatus, OwnMember } from './memberTable.js';
@@ -84,6 +85,8 @@
   /** Service of each instance, to detect an instance that has moved to another service. */
   private readonly serviceOfInstance = new Map<string, ServiceName>();
 
+  private readonly leftOut: LeftOutRecords;
+
   private readonly state: ControlState;
 
   private readonly members: MemberTable;
@@ -116,6 +119,7 @@
     const { clock, random, settings, protocol, store } = options;
     this.log = DecisionLog.create({ clock, flushIntervalMs: LOG_FLUSH_INTERVAL_MS });
     this.incarnation = createIncarnation(clock, random);
+    this.leftOut = LeftOutRecords.create({ clock, log: this.log, metrics: this.metrics });
     this.state = ControlState.create(clock, {
       onConfiguration: (configuration) => this.applyConfiguration(configuration),
       onDomains: (domainsOut) => {
@@ -132,9 +136,7 @@
           forMs: Math.round(entries[0]!.retainForMs),
         });
       },
-      onUnreadable: (key, problem) => {
-        this.log.warn(LogComponent.config, 'record left out', { key, problem });
-      },
+      onUnreadable: (key, problem) => this.leftOut.record(key, problem),
     });
     this.members = MemberTable.create({
       clock,
--- a/packages/gatewayDaemon/src/instanceRuntime.ts
+++ b/packages/gatewayDaemon/src/instanceRuntime.ts
@@ -24,8 +24,10 @@
   FAILURE_SHARE_HALF_LIFE_MS,
   FAILURE_SHARE_WEIGHT,
   LIMIT_CHECK_INTERVAL_MS,
-  MAX_RESPONSE_BYTES,
+  MAX_COLD_MS,
   MAX_CONNECTION_CHECK_AGE_MS,
+  MAX_PAUSE_MS,
+  MAX_RESPONSE_BYTES,
 } from './constants.js';
 import type { InstanceRecord } from './types.js';
 
@@ -318,7 +320,7 @@
   /** Records a health response; `coldForMs` is undefined if it does not contain the cold state. */
   recordHealth(coldForMs: number | undefined): void {
     this.lastHealthResponseAtMs = this.now();
-    if (coldForMs !== undefined) this.setColdTime(coldForMs);
+    if (coldForMs !== undefined) this.setColdTime(Math.min(coldForMs, MAX_COLD_MS));
   }
 
   /** Updates the failure share with the outcome of a request. */
@@ -365,7 +367,7 @@
 
   private recordPause({ status, load: { pauseMs } }: BackendResponse): void {
     if (status !== HTTP_UNAVAILABLE || pauseMs === undefined) return;
-    this.pauseUntilMs = Math.max(this.pauseUntilMs, this.now() + pauseMs);
+    this.pauseUntilMs = Math.max(this.pauseUntilMs, this.now() + Math.min(pauseMs, MAX_PAUSE_MS));
   }
 
   private recordLimit(
--- a/packages/gatewayDaemon/src/peerMessages.ts
+++ b/packages/gatewayDaemon/src/peerMessages.ts
@@ -3,8 +3,28 @@
 import type { CrashReport, Quarantine } from '@bronzelift/admission';
 import { assertNever, formatEndpoint, parseEndpoint } from '@bronzelift/common';
 
-import { MAX_DATAGRAM_BYTES, MAX_MESSAGE_BYTES, NO_DIGEST, NO_VERSION } from './constants.js';
+import {
+  MAX_DATAGRAM_BYTES,
+  MAX_ERA,
+  MAX_LISTED_TEXTS,
+  MAX_LISTED_TEXT_CHARS,
+  MAX_MESSAGE_BYTES,
+  MAX_REQUESTS_PER_S,
+  NEVER_READ_AGE_MS,
+  NO_DIGEST,
+  NO_VERSION,
+} from './constants.js';
 import type { CrashEvidence } from './crashGuard.js';
+import {
+  isCount,
+  isHostAddress,
+  isIntegerWithin,
+  isName,
+  isNumberWithin,
+  isPosition,
+  isReachableEndpoint,
+  isWallMs,
+} from './fieldBounds.js';
 import type { RegistrationEntry } from './instanceRegistry.js';
 import type { InstanceLimit } from './limitExchange.js';
 import type { MemberStatus } from './memberTable.js';
@@ -74,34 +94,49 @@
   Number(status.isCutOff),
 ];
 
+const isFlag = (value: unknown): boolean => value === 0 || value === 1;
+
+const createPlausiblePosition = (era: unknown, offset: unknown): number | undefined => {
+  if (!isIntegerWithin(era, 0, MAX_ERA) || !Number.isSafeInteger(offset)) return undefined;
+  const position = createPosition(era, offset as number);
+  return isPosition(position) ? position : undefined;
+};
+
 const decodeStatus = (
   fields: unknown,
   unreachedServices: readonly string[],
 ): MemberStatus | undefined => {
   if (!Array.isArray(fields) || fields.length < STATUS_FIELDS) return undefined;
   const [vmId, incarnation, failureDomainId, endpoint, phase, ...numbers] = fields as unknown[];
-  const callerEndpoint = parseEndpoint(String(endpoint));
-  const phaseName = PHASES[Number(phase)];
+  if (!isName(vmId) || !isName(incarnation) || !isName(failureDomainId)) return undefined;
+  const callerEndpoint = typeof endpoint === 'string' ? parseEndpoint(endpoint) : undefined;
+  const phaseName = typeof phase === 'number' ? PHASES[phase] : undefined;
   if (callerEndpoint === undefined || phaseName === undefined) return undefined;
-  if (!numbers.every((value) => typeof value === 'number')) return undefined;
+  if (!isReachableEndpoint(callerEndpoint)) return undefined;
   const [isStoreFailing, isReader, storeReadAgeMs, revision, offset, digest, ...later] = numbers;
   // Earlier builds do not send all of these.
   const [version = NO_VERSION, operatorEra = 0, instanceEra = 0, ...latest] = later;
-  const [quarantines = NO_DIGEST, isCutOff = 0] = latest;
+  const [quarantineDigest = NO_DIGEST, isCutOff = 0] = latest;
+  const operatorRevision = createPlausiblePosition(operatorEra, revision);
+  const instancePosition = createPlausiblePosition(instanceEra, offset);
+  if (operatorRevision === undefined || instancePosition === undefined) return undefined;
+  if (![isStoreFailing, isReader, isCutOff].every(isFlag)) return undefined;
+  if (!isNumberWithin(storeReadAgeMs, 0, NEVER_READ_AGE_MS)) return undefined;
+  if (![digest, version, quarantineDigest].every(Number.isSafeInteger)) return undefined;
   return {
-    vmId: String(vmId),
-    incarnation: String(incarnation),
-    failureDomainId: String(failureDomainId),
+    vmId,
+    incarnation,
+    failureDomainId,
     callerEndpoint,
     phase: phaseName,
     isStoreFailing: isStoreFailing === 1,
     isReader: isReader === 1,
-    storeReadAgeMs: storeReadAgeMs!,
-    operatorRevision: createPosition(operatorEra, revision!),
-    instancePosition: createPosition(instanceEra, offset!),
-    instanceDigest: digest!,
-    configurationVersion: version,
-    quarantineDigest: quarantines,
+    storeReadAgeMs,
+    operatorRevision,
+    instancePosition,
+    instanceDigest: digest as number,
+    configurationVersion: version as number,
+    quarantineDigest: quarantineDigest as number,
     isCutOff: isCutOff === 1,
     unreachedServices,
   };
@@ -117,10 +152,12 @@
 const decodeLimit = (fields: unknown): InstanceLimit | undefined => {
   if (!Array.isArray(fields)) return undefined;
   const [instanceId, startedAtWallMs, version, maxRequestsPerS] = fields as unknown[];
-  if (typeof instanceId !== 'string' || typeof startedAtWallMs !== 'number') return undefined;
-  if (typeof version !== 'number') return undefined;
-  if (maxRequestsPerS !== null && typeof maxRequestsPerS !== 'number') return undefined;
-  return { instanceId, startedAtWallMs, version, maxRequestsPerS: maxRequestsPerS ?? undefined };
+  if (!isName(instanceId) || !isWallMs(startedAtWallMs) || !isCount(version)) return undefined;
+  if (maxRequestsPerS === null) {
+    return { instanceId, startedAtWallMs, version, maxRequestsPerS: undefined };
+  }
+  if (!isNumberWithin(maxRequestsPerS, 0, MAX_REQUESTS_PER_S)) return undefined;
+  return { instanceId, startedAtWallMs, version, maxRequestsPerS };
 };
 
 const encodeEvidence = ({ crashes, aliveProcesses, completed }: CrashEvidence): unknown => [
@@ -129,8 +166,11 @@
   completed,
 ];
 
+const isListedText = (value: unknown): value is string =>
+  typeof value === 'string' && value.length <= MAX_LISTED_TEXT_CHARS;
+
 const decodeTexts = (fields: unknown): string[] =>
-  Array.isArray(fields) ? fields.filter((field) => typeof field === 'string') : [];
+  Array.isArray(fields) ? fields.slice(0, MAX_LISTED_TEXTS).filter(isListedText) : [];
 
 const decodeReport = (fields: unknown): CrashReport | undefined => {
   const [fingerprint, instanceProcess] = decodeTexts(fields);
@@ -151,7 +191,7 @@
 const decodeQuarantine = (fields: unknown): Quarantine | undefined => {
   if (!Array.isArray(fields)) return undefined;
   const [fingerprint, untilWallMs] = fields as unknown[];
-  if (typeof fingerprint !== 'string' || typeof untilWallMs !== 'number') return undefined;
+  if (!isListedText(fingerprint) || !isWallMs(untilWallMs)) return undefined;
   return { fingerprint, untilWallMs };
 };
 
@@ -217,7 +257,7 @@
   if (!Array.isArray(fields)) return undefined;
   const [code, first, second] = fields as unknown[];
   if (code === MessageCode.members && Array.isArray(first)) {
-    return { kind: 'members', hosts: first.filter((host) => typeof host === 'string') };
+    return { kind: 'members', hosts: first.slice(0, MAX_LISTED_TEXTS).filter(isHostAddress) };
   }
   if (code === MessageCode.changes && Array.isArray(first)) {
     return { kind: 'changes', entries: first.flatMap((entry) => decodeEntry(entry) ?? []) };
--- a/packages/gatewayDaemon/src/peerNetwork.ts
+++ b/packages/gatewayDaemon/src/peerNetwork.ts
@@ -20,6 +20,7 @@
 } from './constants.js';
 import type { OperatorSnapshot } from './controlState.js';
 import type { RegistrySnapshot } from './instanceRegistry.js';
+import { decodeOperatorSnapshot } from './operatorSnapshotCodec.js';
 import { decodeMessage, encodeMessage } from './peerMessages.js';
 import type { PeerMessage } from './peerMessages.js';
 import { decodeSnapshot, encodeSnapshot } from './registrationCodec.js';
@@ -78,14 +79,18 @@
   return Buffer.concat(chunks);
 };
 
-const decodeState = (text: string): PeerState => {
-  const { operator, instances } = JSON.parse(text) as {
-    operator?: OperatorSnapshot;
-    instances?: unknown;
-  };
-  const snapshot = instances === undefined ? undefined : decodeSnapshot(instances);
-  if (instances !== undefined && snapshot === undefined) throw new Error('unknown registrations');
-  return { operator, instances: snapshot };
+/** Decodes the state of a peer; throws if a field is malformed or out of bounds. */
+export const decodeState = (text: string): PeerState => {
+  const { operator, instances } = JSON.parse(text) as Readonly<Record<string, unknown>>;
+  const operatorSnapshot = operator === undefined ? undefined : decodeOperatorSnapshot(operator);
+  const registrySnapshot = instances === undefined ? undefined : decodeSnapshot(instances);
+  if (operator !== undefined && operatorSnapshot === undefined) {
+    throw new Error("implausible operators' state");
+  }
+  if (instances !== undefined && registrySnapshot === undefined) {
+    throw new Error('implausible registrations');
+  }
+  return { operator: operatorSnapshot, instances: registrySnapshot };
 };
 
 const toOffsetState = ({ operator, instances }: PeerState): PeerState => ({
--- a/packages/gatewayDaemon/src/registrationCodec.ts
+++ b/packages/gatewayDaemon/src/registrationCodec.ts
@@ -1,6 +1,7 @@
 import { formatEndpoint, parseEndpoint } from '@bronzelift/common';
 
-import { NO_POSITION } from './constants.js';
+import { MAX_COLD_MS, NO_POSITION } from './constants.js';
+import { findImplausibleField, isName, isNumberWithin, isPosition } from './fieldBounds.js';
 import type { RegistrationEntry, RegistrySnapshot } from './instanceRegistry.js';
 
 const REMOVAL_FIELDS = 4;
@@ -27,38 +28,35 @@
   ];
 };
 
-/** Decodes a registration; returns undefined for fields that this version does not know. */
+/** Decodes a registration; returns undefined for fields that are unknown or out of bounds. */
 export const decodeEntry = (fields: unknown): RegistrationEntry | undefined => {
   if (!Array.isArray(fields)) return undefined;
   const [id, recordPosition, removedPosition, retainForMs] = fields as unknown[];
-  const numbers = [recordPosition, removedPosition, retainForMs];
-  if (typeof id !== 'string' || !numbers.every((value) => Number.isFinite(value))) return undefined;
-  const entry = {
-    id,
-    recordPosition: Number(recordPosition),
-    removedPosition: Number(removedPosition),
-    retainForMs: Number(retainForMs),
-  };
+  if (!isName(id) || !isPosition(recordPosition) || !isPosition(removedPosition)) return undefined;
+  if (!isNumberWithin(retainForMs, 0, MAX_COLD_MS)) return undefined;
+  const entry = { id, recordPosition, removedPosition, retainForMs };
   if (fields.length === REMOVAL_FIELDS) {
     return { ...entry, record: undefined, recordPosition: NO_POSITION };
   }
   if (fields.length < RECORD_FIELDS) return undefined;
-  const [service, address, domain, ...counts] = (fields as unknown[]).slice(REMOVAL_FIELDS);
-  const endpoint = parseEndpoint(String(address));
-  if (endpoint === undefined || !counts.every((value) => Number.isFinite(value))) return undefined;
-  const [slots, isDraining, coldForMs, startedAtWallMs, sequence] = counts.map(Number);
+  const [service, address, domain, ...numbers] = (fields as unknown[]).slice(REMOVAL_FIELDS);
+  const [slots, isDraining, coldForMs, startedAtWallMs, sequence] = numbers.map((value) =>
+    typeof value === 'number' ? value : NaN,
+  );
+  const endpoint = typeof address === 'string' ? parseEndpoint(address) : undefined;
+  if (!isName(service) || endpoint === undefined || !isName(domain)) return undefined;
   const record = {
     id,
-    service: String(service),
+    service,
     endpoint,
-    failureDomainId: String(domain),
+    failureDomainId: domain,
     slots: slots!,
     isDraining: isDraining === 1,
     coldForMs: coldForMs!,
     startedAtWallMs: startedAtWallMs!,
     sequence: sequence!,
   };
-  return { ...entry, record };
+  return findImplausibleField(record) === undefined ? { ...entry, record } : undefined;
 };
 
 /** Encodes a snapshot for a JSON body. */
@@ -71,8 +69,9 @@
 /** Decodes a snapshot; returns undefined if a part of it is not known to this version. */
 export const decodeSnapshot = (value: unknown): RegistrySnapshot | undefined => {
   const { nextOffset: nextPosition, digest, entries } = (value ?? {}) as Record<string, unknown>;
-  if (typeof nextPosition !== 'number' || typeof digest !== 'number') return undefined;
+  if (!isPosition(nextPosition) || !Number.isSafeInteger(digest)) return undefined;
   if (!Array.isArray(entries)) return undefined;
   const decoded = entries.flatMap((fields) => decodeEntry(fields) ?? []);
-  return decoded.length === entries.length ? { nextPosition, digest, entries: decoded } : undefined;
+  if (decoded.length !== entries.length) return undefined;
+  return { nextPosition, digest: Number(digest), entries: decoded };
 };
