--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -34,9 +34,12 @@
  */
 export const STORE_FAILURE_MEMORY_MS = 3_000;
 
-/** An entry VM that has received no heartbeat of a reader for this time reads the store itself. */
+/** A relay that has received no heartbeat of a reader for this time reads the store itself. */
 export const READER_LOST_MS = 1_500;
 
+/** The same time for a member that hears of readers once per heartbeat interval from its relays. */
+export const READER_LOST_AT_MEMBERS_MS = 2_600;
+
 /** Heartbeat interval; a member counts as lost after three missed heartbeats. */
 export const HEARTBEAT_INTERVAL_MS = 1_000;
 
@@ -55,6 +58,48 @@
  */
 export const PEER_STATE_WAIT_MS = 25;
 
+/** Relays of each failure domain; one of them may fail without a gap. */
+export const RELAY_COUNT = 2;
+
+/** A relay that was not heard for this time is replaced by the next one. */
+export const RELAY_LOST_MS = 1_500;
+
+/** Time for which a member stays a relay after another one used it as such. */
+export const RELAY_ASKED_MS = 2_200;
+
+/**
+ * Time by which a listed member counts as live longer than one that was heard itself, until the
+ * members of a failure domain that has lost its relays have elected others.
+ */
+export const RELAY_CHANGE_GRACE_MS = 1_000;
+
+/** Time for which the results of an election of relays are used. */
+export const RELAY_RESULTS_LIFETIME_MS = 200;
+
+/** Time over which a relay gathers changes of its lists, to send them together. */
+export const ROSTER_CHANGE_DELAY_MS = 20;
+
+/** Members in one change of a list, so that it fits into a datagram; larger changes are fetched. */
+export const MAX_ROSTER_CHANGES = 6;
+
+/** Minimum time between two digests because of large changes. */
+export const MIN_DIGEST_INTERVAL_MS = 250;
+
+/** Members of its failure domain, and of others, that a member without a relay asks at a time. */
+export const SEARCHED_MEMBERS = 2;
+
+/** Time after which a member without a relay asks again; it doubles up to the heartbeat interval. */
+export const RELAY_SEARCH_INTERVAL_MS = 200;
+
+/** Maximum random delay before lists are fetched from a relay, so that not all ask at once. */
+export const ROSTER_FETCH_DELAY_MS = 150;
+
+/** Time for which a message that was passed on is not passed on again. */
+export const PASSED_ON_MEMORY_MS = 500;
+
+/** Time after the start in which a process learns of the other members and elects readers. */
+export const START_SETTLE_MS = 300;
+
 /** Interval of searches in the store for unknown members. */
 export const MEMBER_SEARCH_INTERVAL_MS = 20_000;
 
--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -1,37 +1,41 @@
+import { setMaxListeners } from 'node:events';
+
 import { assertNever, describeError, shuffle, sleep } from '@bronzelift/common';
-import type { Clock, RandomSource } from '@bronzelift/common';
+import type { Clock, RandomSource, VmId } from '@bronzelift/common';
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 
 import {
   CHANGES_LINK_SHARE,
-  FETCH_DELAY_RANGE_MS,
   HEARTBEAT_INTERVAL_MS,
   HOSTS_PER_MESSAGE,
   LIMITS_PER_MESSAGE,
-  MAX_FETCH_ATTEMPTS,
-  MEMBER_SEARCH_INTERVAL_MS,
-  MIN_FETCH_DELAY_MS,
-  MISSED_CHANGES_LIMIT_MS,
   NEVER_READ_AGE_MS,
   NO_DIGEST,
   PEER_STATE_WAIT_MS,
   QUARANTINES_PER_MESSAGE,
+  READER_LOST_AT_MEMBERS_MS,
   READER_LOST_MS,
+  ROSTER_FETCH_DELAY_MS,
   SEND_INTERVAL_MS,
+  START_SETTLE_MS,
 } from './constants.js';
 import type { ControlState } from './controlState.js';
 import type { CrashGuard } from './crashGuard.js';
 import type { RegistrationEntry } from './instanceRegistry.js';
 import type { InstanceLimit, LimitExchange } from './limitExchange.js';
-import type { Member, MemberStatus, MemberTable } from './memberTable.js';
+import { MemberSearch } from './memberSearch.js';
+import type { MemberStatus, MemberTable } from './memberTable.js';
+import { RelayExchange } from './members/index.js';
 import { OutageTracker } from './outageTracker.js';
-import { encodeChanges } from './peerMessages.js';
+import { PassedOnMessages } from './passedOnMessages.js';
+import { encodeChanges, encodeMessage } from './peerMessages.js';
 import type { PeerMessage } from './peerMessages.js';
 import { PeerNetwork } from './peerNetwork.js';
 import type { PeerNetworkOptions } from './peerNetwork.js';
-import { formatPosition } from './storePosition.js';
 import { QuarantineStore } from './quarantineStore.js';
+import { StateCatchUp } from './stateCatchUp.js';
+import { formatPosition } from './storePosition.js';
 import { StoreReader } from './storeReader.js';
 import type { ControlStore, GatewaySettings } from './types.js';
 
@@ -51,21 +55,30 @@
   readonly limits: LimitExchange;
   readonly crashes: CrashGuard;
   readonly onForward: PeerNetworkOptions['onForward'];
-  /** Called after each heartbeat of another member. */
+  /** Called after each message with the status of another member. */
   readonly onMemberHeard: () => void;
   readonly ownStatus: () => MemberStatus;
 }
 
 /**
  * Keeps the state of this entry VM up to date. Two elected members read the store and send changes
- * to all others. The others compare digests in heartbeats and fetch what they have missed from any
- * member that has it. A member that hears no reader, or cannot fetch in time, reads the store itself.
+ * to the relays of each failure domain, which pass them on. The others compare digests in what their
+ * relays send, and fetch what they have missed from any member that has it. A member that knows of
+ * no reader, or cannot fetch in time, reads the store itself.
  */
 export class ControlPlane {
   private readonly network: PeerNetwork;
 
+  private readonly exchange: RelayExchange;
+
+  private readonly passedOn: PassedOnMessages;
+
   private readonly reader: StoreReader;
 
+  private readonly catchUp: StateCatchUp;
+
+  private readonly search: MemberSearch;
+
   private readonly outages = OutageTracker.create();
 
   private readonly quarantines: QuarantineStore;
@@ -74,18 +87,22 @@
 
   private readonly stopped = new AbortController();
 
-  /** Aborted to search the store for members at once. */
-  private memberSearchPause = new AbortController();
+  /** Relays whose lists are being fetched. */
+  private readonly rosterFetches = new Set<VmId>();
 
-  private isFetching = false;
+  /** Monotonic time of the latest read of the store by any member. */
+  private knownReadAtMs = -Infinity;
 
-  /** Monotonic time since which a member has had changes that this entry VM has missed. */
-  private behindSinceMs: number | undefined;
+  private readonly startedAtMs: number;
 
   private isWaitingForPeers = true;
 
   private constructor(private readonly options: ControlPlaneOptions) {
-    const { clock, log, metrics, settings, store, state, members } = options;
+    const { clock, random, log, metrics, settings, store, state, members } = options;
+    const { signal } = this.stopped;
+    this.startedAtMs = clock.monotonicMs();
+    // Each pause of a task, of which there are several for each relay, listens for the stop.
+    setMaxListeners(0, signal);
     this.network = PeerNetwork.create({
       host: settings.host,
       port: settings.peerPort,
@@ -94,7 +111,9 @@
       sendBytesPerInterval:
         settings.linkMbps * CHANGES_LINK_SHARE * BYTES_PER_MBIT_MS * SEND_INTERVAL_MS,
       onMessage: (message, fromHost) => this.handleMessage(message, fromHost),
+      onPassOn: (data, fromHost) => this.passedOn.passOn(data, fromHost),
       onForward: options.onForward,
+      createRosters: () => this.exchange.createRosters(),
       createState: ({ operatorRevision, configurationVersion, instancePosition }) => ({
         operator:
           state.revision > operatorRevision || state.configurationVersion > configurationVersion
@@ -106,10 +125,50 @@
             : state.listInstanceChangesSince(instancePosition),
       }),
     });
+    this.exchange = RelayExchange.create({
+      clock,
+      random,
+      members,
+      ownId: settings.vmId,
+      ownDomainId: settings.failureDomainId,
+      ownHost: settings.host,
+      seedHosts: settings.seedHosts,
+      ownStatus: options.ownStatus,
+      storeReadAgeMs: () => clock.monotonicMs() - this.latestReadAtMs,
+      send: (hosts, message) => this.network.send(hosts, message),
+      requestRosters: (relayId, host) => this.fetchRosters(relayId, host),
+      schedule: (callback, delayMs) => this.schedule(callback, delayMs),
+      onNewcomer: (host) => this.sendKnown(host),
+    });
+    this.passedOn = PassedOnMessages.create({
+      clock,
+      network: this.network,
+      listHosts: () => this.exchange.listOwnDomainHosts(),
+    });
+    this.catchUp = StateCatchUp.create({
+      clock,
+      random,
+      log,
+      metrics,
+      ownDomainId: settings.failureDomainId,
+      state,
+      members,
+      fetchState: (host, query) => this.network.fetchState(host, query),
+      signal,
+    });
+    this.search = MemberSearch.create({
+      log,
+      settings,
+      store,
+      members,
+      isReader: () => this.isReader,
+      greet: (hosts) => this.greet(hosts),
+      signal,
+    });
     this.quarantines = QuarantineStore.create({ clock, log, store, guard: options.crashes });
     this.reader = StoreReader.create({
       clock,
-      random: options.random,
+      random,
       log,
       metrics,
       store,
@@ -122,7 +181,7 @@
       onOperatorChange: () => this.sendHeartbeat(),
       onRestored: () => {
         this.quarantines.reset();
-        this.memberSearchPause.abort();
+        this.search.hurry();
       },
     });
   }
@@ -142,33 +201,44 @@
     return !this.isWaitingForPeers && this.options.members.isElectedReader();
   }
 
+  /** Whether this entry VM passes on what the members of its failure domain should know. */
+  get isRelay(): boolean {
+    return this.exchange.isRelay;
+  }
+
+  /** Whether this entry VM hears no relay. */
+  get isSearching(): boolean {
+    return this.exchange.isSearching;
+  }
+
   /**
    * Opens the peer ports and starts all tasks; rejects with a StepError if a port cannot be opened.
    */
   async start(): Promise<void> {
     await this.network.open();
-    this.network.send(this.options.settings.seedHosts, this.createHeartbeat());
+    this.runExchange();
     this.runHeartbeats();
-    this.runMemberSearch();
+    this.search.run();
     this.startReader();
   }
 
-  /** Sends a heartbeat outside its interval, so that members learn of a status change at once. */
+  /** Sends the own status outside its interval, so that members learn of a change at once. */
   sendHeartbeat(): void {
-    this.network.send(this.listPeerHosts(), this.createHeartbeat());
+    this.exchange.announce();
   }
 
-  /** Sends limits of instances to all members, or to the given hosts. */
-  sendLimits(limits: readonly InstanceLimit[], hosts = this.listPeerHosts()): void {
+  /** Sends limits of instances to all members. */
+  sendLimits(limits: readonly InstanceLimit[]): void {
     for (let index = 0; index < limits.length; index += LIMITS_PER_MESSAGE) {
       const part = limits.slice(index, index + LIMITS_PER_MESSAGE);
-      this.network.send(hosts, { kind: 'limits', limits: part });
+      this.spread({ kind: 'limits', limits: part });
     }
   }
 
   /** Sends a message to the given members, or to all. */
-  sendToMembers(message: PeerMessage, hosts: readonly string[] = this.listPeerHosts()): void {
-    this.network.send(hosts, message);
+  sendToMembers(message: PeerMessage, hosts?: readonly string[]): void {
+    if (hosts === undefined) this.spread(message);
+    else this.network.send(hosts, message);
   }
 
   /** Stops all tasks and closes the peer ports and the connections to the store. */
@@ -179,22 +249,26 @@
     this.options.store.close();
   }
 
+  private spread(message: PeerMessage): void {
+    const { relays, direct } = this.exchange.listSpreadTargets();
+    this.network.send(direct, message);
+    this.network.sendToPassOn(relays, encodeMessage(message));
+  }
+
   /** Starts to read the store after a short wait, in which peers may have sent their state. */
   private async startReader(): Promise<void> {
     await sleep(PEER_STATE_WAIT_MS, this.stopped.signal);
     this.isWaitingForPeers = false;
     this.reader.start();
-    this.syncQuarantines();
   }
 
   private shouldRead(): boolean {
     if (this.isWaitingForPeers) return false;
-    const { members, clock } = this.options;
-    if (members.isElectedReader()) return true;
-    const { behindSinceMs } = this;
-    const nowMs = clock.monotonicMs();
-    if (behindSinceMs !== undefined && nowMs - behindSinceMs > MISSED_CHANGES_LIMIT_MS) return true;
-    return nowMs - members.readerLastHeardAtMs() > READER_LOST_MS;
+    const { members } = this.options;
+    if (members.isElectedReader() || this.catchUp.isLate) return true;
+    // Other members hear of readers from their relays, and later.
+    const isDirect = this.isRelay || this.isSearching;
+    return members.readerAgeMs > (isDirect ? READER_LOST_MS : READER_LOST_AT_MEMBERS_MS);
   }
 
   private recordStoreCall(hasSucceeded: boolean): void {
@@ -204,25 +278,21 @@
     if (wasFailing !== !hasSucceeded) this.sendHeartbeat();
   }
 
-  private createHeartbeat(): PeerMessage {
-    return { kind: 'heartbeat', status: this.options.ownStatus() };
-  }
-
-  private listPeerHosts(): string[] {
-    const memberHosts = this.options.members.all().map(({ host }) => host);
-    const { host: ownHost, seedHosts } = this.options.settings;
-    return [...new Set([...memberHosts, ...seedHosts])].filter((host) => host !== ownHost);
+  private get latestReadAtMs(): number {
+    const ownReadAtMs = this.options.clock.monotonicMs() - this.reader.readAgeMs;
+    return Math.max(ownReadAtMs, this.knownReadAtMs);
   }
 
   /** Sends changes to all members, and then the status with the digest that they lead to. */
   private async publishChanges(entries: readonly RegistrationEntry[]): Promise<void> {
-    this.updateBehind();
+    this.catchUp.update();
     // If all members that read the store for themselves published, their messages would congest
     // the links of all.
     if (!this.isReader) return;
     const datagrams = encodeChanges(entries);
-    const hosts = shuffle(this.options.random, this.listPeerHosts());
-    await this.network.sendSpread(hosts, datagrams);
+    const { relays, direct } = this.exchange.listSpreadTargets();
+    await this.network.spreadToPassOn(shuffle(this.options.random, relays), datagrams);
+    await this.network.sendSpread(shuffle(this.options.random, direct), datagrams);
     this.sendHeartbeat();
     if (entries.length === 0) return;
     this.options.metrics.counter('bronzelift_registration_changes_sent_total').increment();
@@ -230,13 +300,15 @@
       instanceOffset: formatPosition(this.options.state.nextInstancePosition),
       entries: entries.length,
       datagrams: datagrams.length,
-      members: hosts.length,
+      members: relays.length + direct.length,
     });
   }
 
   private syncQuarantines(): void {
-    const isAlone = !this.isWaitingForPeers && this.options.members.live().length === 0;
-    if (this.isReader || isAlone) this.quarantines.sync();
+    const { clock, members } = this.options;
+    // Right after the start, the readers are not known yet.
+    if (clock.monotonicMs() - this.startedAtMs < START_SETTLE_MS) return;
+    if (this.isReader || members.live().length === 0) this.quarantines.sync();
   }
 
   private sendQuarantines(host: string): void {
@@ -247,6 +319,16 @@
     }
   }
 
+  /** Sends a member that has started what relays have passed on before. */
+  private sendKnown(host: string): void {
+    const limits = this.options.limits.listObservedLimits();
+    for (let index = 0; index < limits.length; index += LIMITS_PER_MESSAGE) {
+      const part = limits.slice(index, index + LIMITS_PER_MESSAGE);
+      this.network.send([host], { kind: 'limits', limits: part });
+    }
+    this.sendQuarantines(host);
+  }
+
   /** Asks a member that knows other quarantined requests, one member per heartbeat interval. */
   private compareQuarantines({ quarantineDigest }: MemberStatus, host: string): void {
     const { crashes, clock } = this.options;
@@ -257,11 +339,17 @@
     this.network.send([host], { kind: 'quarantine-query' });
   }
 
+  /** Sends heartbeats and digests; more often while no relay is known. */
+  private async runExchange(): Promise<void> {
+    const { signal } = this.stopped;
+    while (!signal.aborted) await sleep(this.exchange.tick(), signal);
+  }
+
   private async runHeartbeats(): Promise<void> {
     const { signal } = this.stopped;
     const { state, members, log } = this.options;
+    await sleep(START_SETTLE_MS, signal);
     while (!signal.aborted) {
-      this.sendHeartbeat();
       this.sendLimits(this.options.limits.takeDue());
       this.options.crashes.update();
       this.syncQuarantines();
@@ -273,58 +361,52 @@
     }
   }
 
-  /**
-   * Records this entry VM's host in the store, and searches there for members that no seed knows.
-   */
-  private async runMemberSearch(): Promise<void> {
-    const { signal } = this.stopped;
-    const { settings, store, log, members } = this.options;
-    let isAnnounced = false;
-    while (!signal.aborted) {
-      this.memberSearchPause = new AbortController();
-      try {
-        if (!isAnnounced) {
-          await store.recordMembers([{ vmId: settings.vmId, host: settings.host }]);
-          isAnnounced = true;
-        }
-        if (this.isReader || members.live().length === 0) await this.searchMembers();
-      } catch (error) {
-        log.warn(LogComponent.member, 'member search failed', { error: describeError(error) });
-      }
-      const pause = AbortSignal.any([signal, this.memberSearchPause.signal]);
-      await sleep(isAnnounced ? MEMBER_SEARCH_INTERVAL_MS : HEARTBEAT_INTERVAL_MS, pause);
-    }
+  private async schedule(callback: () => void, delayMs: number): Promise<void> {
+    await sleep(delayMs, this.stopped.signal);
+    if (!this.stopped.signal.aborted) callback();
   }
 
-  /** Greets the members in the store, and records there those that a restored store has lost. */
-  private async searchMembers(): Promise<void> {
-    const { settings, store, log, members } = this.options;
-    const found = await store.readMembers();
-    const hosts = found.map(({ host }) => host).filter((host) => host !== settings.host);
-    this.network.send(hosts, this.createHeartbeat());
-    const hostOfMember = new Map(found.map(({ vmId, host }) => [vmId, host]));
-    const known = members.live().map(({ status, host }) => ({ vmId: status.vmId, host }));
-    const missing = [{ vmId: settings.vmId, host: settings.host }, ...known].filter(
-      ({ vmId, host }) => hostOfMember.get(vmId) !== host,
-    );
-    if (missing.length === 0) return;
-    await store.recordMembers(missing);
-    log.info(LogComponent.member, 'missing members recorded in the store', {
-      members: missing.length,
-      first: missing[0]!.vmId,
-    });
+  private async fetchRosters(relayId: VmId, host: string): Promise<void> {
+    if (this.rosterFetches.has(relayId)) return;
+    this.rosterFetches.add(relayId);
+    await sleep(this.options.random.next() * ROSTER_FETCH_DELAY_MS, this.stopped.signal);
+    try {
+      if (this.stopped.signal.aborted) return;
+      const rosters = await this.network.fetchRosters(host);
+      this.exchange.applyRosters(relayId, rosters);
+      this.options.metrics.counter('bronzelift_roster_fetches_total').increment();
+    } catch (error) {
+      this.options.log.warn(LogComponent.member, 'fetch of members failed', {
+        relay: relayId,
+        error: describeError(error),
+      });
+    } finally {
+      this.rosterFetches.delete(relayId);
+    }
   }
 
   private handleMessage(message: PeerMessage, fromHost: string): void {
     switch (message.kind) {
       case 'heartbeat':
-        this.handleStatus(message.status, fromHost);
+        this.handleHeartbeat(message.status, fromHost);
+        return;
+      case 'digest':
+        if (message.digest.status.vmId === this.options.settings.vmId) return;
+        this.recordRead(message.digest.readAgeMs, message.digest.status);
+        this.handleStatus(
+          message.digest.status,
+          fromHost,
+          this.exchange.handleDigest(message.digest, fromHost),
+        );
+        return;
+      case 'roster-change':
+        this.exchange.handleRosterChange(message.change);
         return;
       case 'changes':
         this.options.state.mergeInstanceChanges(message.entries);
         return;
       case 'members':
-        this.sendHeartbeatToUnknown(message.hosts);
+        this.greetUnknown(message.hosts);
         return;
       case 'limits':
         this.options.limits.merge(message.limits);
@@ -343,130 +425,54 @@
     }
   }
 
-  private handleStatus(status: MemberStatus, fromHost: string): void {
-    const { members, state, log, settings } = this.options;
-    if (status.vmId === settings.vmId) return;
-    if (status.storeReadAgeMs < NEVER_READ_AGE_MS) {
-      const readAtMs = this.options.clock.monotonicMs() - status.storeReadAgeMs;
-      this.outages.recordRead(readAtMs, members.isAnyStoreFailing() || status.isStoreFailing);
-    }
-    const isNew = members.recordHeartbeat(status, fromHost);
+  private handleHeartbeat(status: MemberStatus, fromHost: string): void {
+    if (status.vmId === this.options.settings.vmId) return;
+    this.recordRead(status.storeReadAgeMs, status);
+    const isNew = this.exchange.handleHeartbeat(status, fromHost);
+    if (isNew && status.sequence === undefined) this.greetEarlierBuild(fromHost);
+    this.handleStatus(status, fromHost, isNew);
+  }
+
+  private recordRead(readAgeMs: number, { isStoreFailing }: MemberStatus): void {
+    if (readAgeMs >= NEVER_READ_AGE_MS) return;
+    const readAtMs = this.options.clock.monotonicMs() - readAgeMs;
+    this.knownReadAtMs = Math.max(this.knownReadAtMs, readAtMs);
+    this.outages.recordRead(readAtMs, this.options.members.isAnyStoreFailing() || isStoreFailing);
+  }
+
+  private handleStatus(status: MemberStatus, fromHost: string, isNew: boolean): void {
     if (isNew) {
-      log.info(LogComponent.member, 'member heard', {
+      this.options.log.info(LogComponent.member, 'member heard', {
         member: status.vmId,
         incarnation: status.incarnation,
         domain: status.failureDomainId,
         phase: status.phase,
       });
-      const hosts = members.all().map(({ host }) => host);
-      this.network.send([fromHost], this.createHeartbeat());
-      for (let index = 0; index < hosts.length; index += HOSTS_PER_MESSAGE) {
-        const part = hosts.slice(index, index + HOSTS_PER_MESSAGE);
-        this.network.send([fromHost], { kind: 'members', hosts: part });
-      }
-      this.sendLimits(this.options.limits.listObservedLimits(), [fromHost]);
-      this.sendQuarantines(fromHost);
     }
     this.options.onMemberHeard();
     this.compareQuarantines(status, fromHost);
-    state.advanceInstancePosition(status.instancePosition, status.instanceDigest);
-    if (!this.isBehind(status)) return;
-    this.behindSinceMs ??= this.options.clock.monotonicMs();
-    this.catchUp();
-  }
-
-  private sendHeartbeatToUnknown(hosts: readonly string[]): void {
-    const knownHosts = new Set(this.listPeerHosts());
-    const unknown = hosts.filter(
-      (host) => !knownHosts.has(host) && host !== this.options.settings.host,
-    );
-    if (unknown.length > 0) this.network.send(unknown, this.createHeartbeat());
-  }
-
-  /** Whether a member has a newer state that has to be fetched. */
-  private isBehind(status: MemberStatus): boolean {
-    const { state } = this.options;
-    if (status.operatorRevision > state.revision) return true;
-    if (status.configurationVersion > state.configurationVersion) return true;
-    const ownPosition = state.nextInstancePosition ?? -1;
-    return status.instancePosition > ownPosition && status.instanceDigest !== state.digest;
-  }
-
-  private listMembersAhead(): Member[] {
-    return this.options.members.live().filter(({ status }) => this.isBehind(status));
-  }
-
-  private updateBehind(): void {
-    if (this.listMembersAhead().length === 0) this.behindSinceMs = undefined;
-  }
-
-  /** Fetches missed changes from the members that have them, one after the other. */
-  private async catchUp(): Promise<void> {
-    if (this.isFetching) return;
-    this.isFetching = true;
-    const asked = new Set<string>();
-    if (this.options.state.isComplete) await this.waitForChanges();
-    while (asked.size < MAX_FETCH_ATTEMPTS && !this.stopped.signal.aborted) {
-      const peer = this.selectMemberAhead(asked);
-      if (peer === undefined) break;
-      asked.add(peer.status.vmId);
-      // The changes since the own position suffice, unless an earlier one was missed.
-      const isWhole = asked.size > MAX_FETCH_ATTEMPTS / 2;
-      await this.fetchFrom(peer, isWhole);
+    this.options.state.advanceInstancePosition(status.instancePosition, status.instanceDigest);
+    this.catchUp.compare(status);
+  }
+
+  /** Members of earlier builds do not use relays: they greet all hosts that they are told. */
+  private greetEarlierBuild(host: string): void {
+    const hosts = this.options.members.all().map((member) => member.host);
+    this.greet([host]);
+    for (let index = 0; index < hosts.length; index += HOSTS_PER_MESSAGE) {
+      const part = hosts.slice(index, index + HOSTS_PER_MESSAGE);
+      this.network.send([host], { kind: 'members', hosts: part });
     }
-    this.updateBehind();
-    this.isFetching = false;
+    this.sendKnown(host);
   }
 
-  /** Waits for changes that may still arrive as datagrams. */
-  private async waitForChanges(): Promise<void> {
-    const delayMs = MIN_FETCH_DELAY_MS + this.options.random.next() * FETCH_DELAY_RANGE_MS;
-    await sleep(delayMs, this.stopped.signal);
+  private greetUnknown(hosts: readonly string[]): void {
+    const known = new Set(this.options.members.live().map(({ host }) => host));
+    const { host: ownHost } = this.options.settings;
+    this.greet(hosts.filter((host) => !known.has(host) && host !== ownHost));
   }
 
-  /** Selects a member at random, in the own failure domain if possible. */
-  private selectMemberAhead(asked: ReadonlySet<string>): Member | undefined {
-    const { random, settings } = this.options;
-    const ahead = this.listMembersAhead().filter(({ status }) => !asked.has(status.vmId));
-    const inDomain = ahead.filter(
-      ({ status }) => status.failureDomainId === settings.failureDomainId,
-    );
-    return shuffle(random, inDomain.length > 0 ? inDomain : ahead)[0];
-  }
-
-  private async fetchFrom({ status, host }: Member, isWhole: boolean): Promise<void> {
-    const { state, log, metrics, clock } = this.options;
-    const startedAtMs = clock.monotonicMs();
-    const finish = (outcome: 'fetched' | 'failed'): number => {
-      const tookMs = clock.monotonicMs() - startedAtMs;
-      metrics.counter('bronzelift_state_fetches_total', { outcome }).increment();
-      metrics.histogram('bronzelift_state_fetch_ms').recordMs(tookMs);
-      return Math.round(tookMs);
-    };
-    try {
-      const instancePosition = isWhole ? undefined : state.nextInstancePosition;
-      const { operator, instances } = await this.network.fetchState(host, {
-        operatorRevision: state.revision,
-        configurationVersion: state.configurationVersion,
-        instancePosition,
-      });
-      if (operator !== undefined) state.adoptOperatorSnapshot(operator);
-      if (instances !== undefined) {
-        if (instancePosition === undefined) state.mergeInstanceSnapshot(instances);
-        else state.mergeInstanceChangesSince(instances);
-      }
-      log.info(LogComponent.log, 'state taken from peer', {
-        peer: status.vmId,
-        revision: formatPosition(state.revision),
-        instanceOffset: formatPosition(state.nextInstancePosition),
-        tookMs: finish('fetched'),
-      });
-    } catch (error) {
-      log.warn(LogComponent.log, 'fetch of peer state failed', {
-        peer: status.vmId,
-        error: describeError(error),
-        tookMs: finish('failed'),
-      });
-    }
+  private greet(hosts: readonly string[]): void {
+    this.network.send(hosts, { kind: 'heartbeat', status: this.exchange.createStatus() });
   }
 }
--- a/packages/gatewayDaemon/src/forwardCodec.ts
+++ b/packages/gatewayDaemon/src/forwardCodec.ts
@@ -2,7 +2,8 @@
 
 import type { ServiceName } from '@bronzelift/common';
 
-import { isNumberWithin } from './fieldBounds.js';
+import { NO_VERSION } from './constants.js';
+import { isIntegerWithin, isNumberWithin } from './fieldBounds.js';
 import type { FailureReason, GatewayAnswer, RefusalReason } from './types.js';
 
 /** A caller's request that one entry VM forwards to another one. */
@@ -17,6 +18,8 @@
   readonly elapsedMs: number;
   /** Time that the caller waits, counted from the arrival. */
   readonly callerWaitMs: number;
+  /** Configuration with which the request was accepted; undefined from earlier builds. */
+  readonly configurationVersion?: number | undefined;
 }
 
 /** Reply to a forwarded request; declined if the receiver cannot serve it and has not tried. */
@@ -58,6 +61,9 @@
   !Array.isArray(headers) &&
   Object.values(headers).every(isHeaderValue);
 
+const isVersion = (value: unknown): boolean =>
+  value === undefined || isIntegerWithin(value, NO_VERSION, Number.MAX_SAFE_INTEGER);
+
 /** Encodes a request with its body. */
 export const encodeForwardedRequest = (request: ForwardedRequest): Buffer => {
   const { body, callerWaitMs, ...head } = request;
@@ -79,6 +85,7 @@
   const isRequest =
     texts.every((text) => typeof text === 'string') &&
     isHeaderFields(fields.headers) &&
+    isVersion(fields.configurationVersion) &&
     isNumberWithin(fields.elapsedMs, 0, Number.MAX_VALUE) &&
     (callerWaitMs === null || isNumberWithin(callerWaitMs, 0, Number.MAX_VALUE));
   if (!isRequest) throw new Error('the message is not a request');
--- a/packages/gatewayDaemon/src/forwardReceiver.ts
+++ b/packages/gatewayDaemon/src/forwardReceiver.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '@bronzelift/common';
 import type { Metrics } from '@bronzelift/observability';
 
-import { MAX_FORWARDED_BYTES, MAX_RECEIVED_FORWARDS } from './constants.js';
+import { MAX_FORWARDED_BYTES, MAX_RECEIVED_FORWARDS, NO_VERSION } from './constants.js';
 import { decodeForwardedRequest, encodeForwardReply } from './forwardCodec.js';
 import type { ForwardReply, ForwardedRequest } from './forwardCodec.js';
 import type { RequestHandler } from './requestHandler.js';
@@ -15,6 +15,7 @@
   readonly metrics: Metrics;
   readonly handler: RequestHandler;
   readonly isReady: () => boolean;
+  readonly configurationVersion: () => number;
   readonly findService: (name: string) => ServiceRuntime | undefined;
 }
 
@@ -86,9 +87,13 @@
     return { kind: 'handled', answer };
   }
 
-  private findObstacle({ service }: ForwardedRequest): string | undefined {
-    const { isReady, findService } = this.options;
+  private findObstacle({
+    service,
+    configurationVersion: version = NO_VERSION,
+  }: ForwardedRequest): string | undefined {
+    const { isReady, configurationVersion, findService } = this.options;
     if (!isReady()) return 'not ready';
+    if (version > configurationVersion()) return 'older configuration';
     const isReached = findService(service)?.reachabilityState !== 'unreached';
     return isReached ? undefined : 'instances not reached';
   }
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -196,6 +196,7 @@
       metrics: this.metrics,
       handler,
       isReady: () => this.isReady,
+      configurationVersion: () => this.state.configurationVersion,
       findService: (name) => this.services.get(name),
     });
     this.gauges = StateGauges.create({
--- a/packages/gatewayDaemon/src/memberTable.ts
+++ b/packages/gatewayDaemon/src/memberTable.ts
@@ -21,6 +21,12 @@
 import type { CallerLocation } from './types.js';
 import { hashText } from './utils.js';
 
+/**
+ * Why a member sends its status: to its relay, in search of a relay, or so that the receiver knows
+ * the member.
+ */
+export type StatusPurpose = 'report' | 'search' | 'greeting';
+
 /** Status that a member reports in a heartbeat. */
 export interface MemberStatus {
   readonly vmId: VmId;
@@ -47,6 +53,13 @@
   readonly unreachedServices: readonly ServiceName[];
   /** Digest of the quarantined requests; NO_DIGEST from earlier builds. */
   readonly quarantineDigest: number;
+  /**
+   * Counts the changes that relays pass on; undefined from earlier builds, which use no relays and
+   * have to be heard directly.
+   */
+  readonly sequence?: number | undefined;
+  /** Why the status was sent; undefined from earlier builds. */
+  readonly purpose?: StatusPurpose | undefined;
 }
 
 /** The part of this entry VM's own status that the table uses. */
@@ -63,13 +76,25 @@
   readonly allowedRegions: readonly string[];
 }
 
-/** Another entry VM with its latest heartbeat. */
+/** Another entry VM with its latest status. */
 export interface Member {
   readonly status: MemberStatus;
   readonly host: string;
+  /** Monotonic time at which it was last known to run, from itself or from a relay. */
   readonly lastHeardAtMs: number;
+  /** Monotonic time at which it was last heard itself; -Infinity if it never was. */
+  readonly directAtMs: number;
 }
 
+/** A member in the table, whose times change with each message. */
+type KnownMember = { -readonly [Field in keyof Member]: Member[Field] };
+
+/** Whether a status is older than another one of the same member. */
+export const isOlderStatus = (status: MemberStatus, other: MemberStatus): boolean =>
+  status.incarnation === other.incarnation
+    ? (status.sequence ?? 0) < (other.sequence ?? 0)
+    : status.incarnation < other.incarnation;
+
 /** Dependencies of a MemberTable. */
 export interface MemberTableOptions {
   readonly clock: Clock;
@@ -83,13 +108,15 @@
  * to callers, and how many share a budget.
  */
 export class MemberTable {
-  private readonly members = new Map<VmId, Member>();
+  private readonly members = new Map<VmId, KnownMember>();
 
   /** Results of countInstanceSharers since the last change of the members or their failure domains. */
   private readonly instanceSharers = new Map<string, number>();
 
   private ownStoreFailureAtMs = -Infinity;
 
+  private readerHeardAtMs = -Infinity;
+
   private constructor(private readonly options: MemberTableOptions) {}
 
   static create(options: MemberTableOptions): MemberTable {
@@ -100,10 +127,62 @@
   recordHeartbeat(status: MemberStatus, host: string): boolean {
     const former = this.members.get(status.vmId);
     if (former?.status.failureDomainId !== status.failureDomainId) this.instanceSharers.clear();
-    this.members.set(status.vmId, { status, host, lastHeardAtMs: this.now() });
+    const nowMs = this.now();
+    this.members.set(status.vmId, { status, host, lastHeardAtMs: nowMs, directAtMs: nowMs });
+    if (status.isReader) this.recordReader(nowMs);
     return former?.status.incarnation !== status.incarnation;
   }
 
+  /** Records what a relay says of a member, unless the member itself was heard since. */
+  recordListed({ status, host }: Pick<Member, 'status' | 'host'>, atMs: number): void {
+    const former = this.members.get(status.vmId);
+    if (former === undefined) {
+      this.instanceSharers.clear();
+      this.members.set(status.vmId, {
+        status,
+        host,
+        lastHeardAtMs: atMs,
+        directAtMs: -Infinity,
+      });
+      return;
+    }
+    const isHeard = this.now() - former.directAtMs < MEMBER_LOST_MS;
+    const isSameProcess = former.status.incarnation === status.incarnation;
+    const isNews = isSameProcess ? isOlderStatus(former.status, status) : !isHeard;
+    if (isNews) Object.assign(former, { status, host });
+    this.markHeard({ status, host }, atMs);
+  }
+
+  /** Records that a relay knew a member to run at the given monotonic time. */
+  markHeard({ status, host }: Pick<Member, 'status' | 'host'>, atMs: number): void {
+    const former = this.members.get(status.vmId);
+    if (former === undefined) this.recordListed({ status, host }, atMs);
+    else former.lastHeardAtMs = Math.max(former.lastHeardAtMs, atMs);
+  }
+
+  /** Records that a member is known not to run any more. */
+  markLost(vmId: VmId): void {
+    const former = this.members.get(vmId);
+    if (former === undefined) return;
+    const lostAtMs = this.now() - MEMBER_LOST_MS - 1;
+    former.lastHeardAtMs = Math.min(former.lastHeardAtMs, lostAtMs);
+  }
+
+  /** Finds a member, also one without a recent heartbeat. */
+  find(vmId: VmId): Member | undefined {
+    return this.members.get(vmId);
+  }
+
+  /** Records that a reader of the store was known to run at the given monotonic time. */
+  recordReader(atMs: number): void {
+    this.readerHeardAtMs = Math.max(this.readerHeardAtMs, atMs);
+  }
+
+  /** Time since another member that reads the store was known to run; Infinity if none was. */
+  get readerAgeMs(): number {
+    return this.now() - this.readerHeardAtMs;
+  }
+
   /** Records whether a store call of this entry VM succeeded. */
   recordStoreCall(hasSucceeded: boolean): void {
     this.ownStoreFailureAtMs = hasSucceeded ? -Infinity : this.now();
@@ -178,15 +257,6 @@
     return ranked.some(({ vmId }) => vmId === own.vmId) ? ranked.length : 0;
   }
 
-  /** Time of the latest heartbeat of another member that reads the store. */
-  readerLastHeardAtMs(): number {
-    let latestMs = -Infinity;
-    for (const { status, lastHeardAtMs } of this.members.values()) {
-      if (status.isReader) latestMs = Math.max(latestMs, lastHeardAtMs);
-    }
-    return latestMs;
-  }
-
   /** Whether a recent store call of any member, including this one, failed. */
   isAnyStoreFailing(): boolean {
     return this.isOwnStoreFailing || this.live().some(({ status }) => status.isStoreFailing);
@@ -243,7 +313,8 @@
         status.phase === 'ready' &&
         !status.isCutOff &&
         !status.unreachedServices.includes(service) &&
-        status.configurationVersion >= minVersion &&
+        // Relays do not pass on versions; a member that has an older one declines.
+        (status.sequence !== undefined || status.configurationVersion >= minVersion) &&
         (allowedRegions.length === 0 ||
           allowedRegions.includes(regionOfDomain.get(status.failureDomainId) ?? '')),
     );
--- a/packages/gatewayDaemon/src/peerMessages.ts
+++ b/packages/gatewayDaemon/src/peerMessages.ts
@@ -28,6 +28,13 @@
 import type { RegistrationEntry } from './instanceRegistry.js';
 import type { InstanceLimit } from './limitExchange.js';
 import type { MemberStatus } from './memberTable.js';
+import type {
+  DomainDigest,
+  DomainRoster,
+  ListedMember,
+  RelayDigest,
+  RosterChange,
+} from './members/index.js';
 import { decodeEntry, encodeEntry } from './registrationCodec.js';
 import { createPosition, getEra, toOffset } from './storePosition.js';
 
@@ -45,7 +52,11 @@
   /** Requests that are no longer sent to instances. */
   | { readonly kind: 'quarantines'; readonly quarantines: readonly Quarantine[] }
   /** Asks the receiver for its quarantines. */
-  | { readonly kind: 'quarantine-query' };
+  | { readonly kind: 'quarantine-query' }
+  /** Digests of the members that a relay lists. */
+  | { readonly kind: 'digest'; readonly digest: RelayDigest }
+  /** Change of the members that a relay lists. */
+  | { readonly kind: 'roster-change'; readonly change: RosterChange };
 
 /**
  * Code 3 was a difference between two whole sets of registrations, code 4 had offsets in place of
@@ -59,12 +70,18 @@
   crashes: 7,
   quarantines: 8,
   quarantineQuery: 9,
+  digest: 10,
+  rosterChange: 11,
 } as const;
 
 const PHASES = ['starting', 'ready', 'leaving'] as const;
 
+const PURPOSES = ['report', 'search', 'greeting'] as const;
+
 const STATUS_FIELDS = 11;
 
+const DOMAIN_DIGEST_FIELDS = 2;
+
 /** First byte of a message that is not compressed. */
 const JSON_ARRAY_START = '['.charCodeAt(0);
 
@@ -92,8 +109,19 @@
   toEra(status.instancePosition),
   status.quarantineDigest,
   Number(status.isCutOff),
+  ...(status.sequence === undefined
+    ? []
+    : [status.sequence, PURPOSES.indexOf(status.purpose ?? 'greeting')]),
 ];
 
+const isDigest = (value: unknown): value is number => isIntegerWithin(value, 0, 2 ** 32);
+
+const isListedText = (value: unknown): value is string =>
+  typeof value === 'string' && value.length <= MAX_LISTED_TEXT_CHARS;
+
+const decodeTexts = (fields: unknown): string[] =>
+  Array.isArray(fields) ? fields.slice(0, MAX_LISTED_TEXTS).filter(isListedText) : [];
+
 const isFlag = (value: unknown): boolean => value === 0 || value === 1;
 
 const createPlausiblePosition = (era: unknown, offset: unknown): number | undefined => {
@@ -116,7 +144,9 @@
   const [isStoreFailing, isReader, storeReadAgeMs, revision, offset, digest, ...later] = numbers;
   // Earlier builds do not send all of these.
   const [version = NO_VERSION, operatorEra = 0, instanceEra = 0, ...latest] = later;
-  const [quarantineDigest = NO_DIGEST, isCutOff = 0] = latest;
+  const [quarantineDigest = NO_DIGEST, isCutOff = 0, sequence, purposeCode] = latest;
+  const purpose = typeof purposeCode === 'number' ? PURPOSES[purposeCode] : undefined;
+  if (sequence !== undefined && (!isCount(sequence) || purpose === undefined)) return undefined;
   const operatorRevision = createPlausiblePosition(operatorEra, revision);
   const instancePosition = createPlausiblePosition(instanceEra, offset);
   if (operatorRevision === undefined || instancePosition === undefined) return undefined;
@@ -139,9 +169,101 @@
     quarantineDigest: quarantineDigest as number,
     isCutOff: isCutOff === 1,
     unreachedServices,
+    ...(sequence === undefined ? {} : { sequence, purpose }),
   };
 };
 
+const encodeListed = ({ status, host }: ListedMember): readonly unknown[] => [
+  encodeStatus(status),
+  status.unreachedServices,
+  host,
+];
+
+const decodeListed = (fields: unknown): ListedMember | undefined => {
+  if (!Array.isArray(fields)) return undefined;
+  const [statusFields, services, host] = fields as unknown[];
+  const status = decodeStatus(statusFields, decodeTexts(services));
+  if (status?.sequence === undefined || !isHostAddress(host)) return undefined;
+  return { status, host };
+};
+
+const decodeAllListed = (fields: unknown): ListedMember[] | undefined => {
+  if (!Array.isArray(fields)) return undefined;
+  const listed = fields.flatMap((item) => decodeListed(item) ?? []);
+  return listed.length === fields.length ? listed : undefined;
+};
+
+const isAge = (value: unknown): value is number => isNumberWithin(value, 0, NEVER_READ_AGE_MS);
+
+const encodeDomainDigest = ({ failureDomainId, digest }: DomainDigest) =>
+  [failureDomainId, digest] as const;
+
+const decodeDomainDigest = (fields: unknown): DomainDigest | undefined => {
+  if (!Array.isArray(fields)) return undefined;
+  const [failureDomainId, digest] = fields as unknown[];
+  if (!isName(failureDomainId) || !isDigest(digest)) return undefined;
+  return { failureDomainId, digest };
+};
+
+const encodeDigest = ({ status, domains, readerAgeMs, readAgeMs }: RelayDigest): unknown => [
+  MessageCode.digest,
+  encodeStatus(status),
+  status.unreachedServices,
+  domains.map(encodeDomainDigest),
+  Math.round(readerAgeMs),
+  Math.round(readAgeMs),
+];
+
+const decodeDigest = (fields: readonly unknown[]): RelayDigest | undefined => {
+  const [statusFields, services, domains, readerAgeMs, readAgeMs] = fields;
+  const status = decodeStatus(statusFields, decodeTexts(services));
+  if (status?.sequence === undefined || !Array.isArray(domains)) return undefined;
+  if (!isAge(readerAgeMs) || !isAge(readAgeMs)) return undefined;
+  const decoded = domains
+    .slice(0, MAX_LISTED_TEXTS)
+    .flatMap((domain) => decodeDomainDigest(domain) ?? []);
+  return { status, domains: decoded, readerAgeMs, readAgeMs };
+};
+
+const encodeRosterChange = (change: RosterChange): unknown => [
+  MessageCode.rosterChange,
+  change.relayId,
+  change.failureDomainId,
+  change.formerDigest,
+  change.digest,
+  change.changed.map(encodeListed),
+  change.removed,
+];
+
+const decodeRosterChange = (fields: readonly unknown[]): RosterChange | undefined => {
+  const [relayId, failureDomainId, formerDigest, digest, listed, removed] = fields;
+  if (!isName(relayId) || !isName(failureDomainId)) return undefined;
+  if (!isDigest(formerDigest) || !isDigest(digest)) return undefined;
+  const changed = decodeAllListed(listed);
+  if (changed === undefined) return undefined;
+  const removedIds = decodeTexts(removed);
+  return { relayId, failureDomainId, formerDigest, digest, changed, removed: removedIds };
+};
+
+/** Encodes the lists of a relay for a JSON body. */
+export const encodeRosters = (rosters: readonly DomainRoster[]): unknown =>
+  rosters.map(({ members, ...digest }) => [
+    ...encodeDomainDigest(digest),
+    members.map(encodeListed),
+  ]);
+
+/** Decodes the lists of a relay; undefined if a part of them is malformed or out of bounds. */
+export const decodeRosters = (value: unknown): DomainRoster[] | undefined => {
+  if (!Array.isArray(value)) return undefined;
+  const rosters = (value as unknown[]).flatMap((fields) => {
+    const digest = decodeDomainDigest(fields);
+    if (digest === undefined) return [];
+    const members = decodeAllListed((fields as unknown[])[DOMAIN_DIGEST_FIELDS]);
+    return members === undefined ? [] : { ...digest, members };
+  });
+  return rosters.length === value.length ? rosters : undefined;
+};
+
 const encodeLimit = (limit: InstanceLimit): readonly unknown[] => [
   limit.instanceId,
   limit.startedAtWallMs,
@@ -166,12 +288,6 @@
   completed,
 ];
 
-const isListedText = (value: unknown): value is string =>
-  typeof value === 'string' && value.length <= MAX_LISTED_TEXT_CHARS;
-
-const decodeTexts = (fields: unknown): string[] =>
-  Array.isArray(fields) ? fields.slice(0, MAX_LISTED_TEXTS).filter(isListedText) : [];
-
 const decodeReport = (fields: unknown): CrashReport | undefined => {
   const [fingerprint, instanceProcess] = decodeTexts(fields);
   if (fingerprint === undefined || instanceProcess === undefined) return undefined;
@@ -226,6 +342,10 @@
     }
     case 'quarantine-query':
       return Buffer.from(JSON.stringify([MessageCode.quarantineQuery]));
+    case 'digest':
+      return Buffer.from(JSON.stringify(encodeDigest(message.digest)));
+    case 'roster-change':
+      return Buffer.from(JSON.stringify(encodeRosterChange(message.change)));
     default:
       return assertNever(message);
   }
@@ -273,6 +393,14 @@
     return { kind: 'quarantines', quarantines };
   }
   if (code === MessageCode.quarantineQuery) return { kind: 'quarantine-query' };
+  if (code === MessageCode.digest) {
+    const digest = decodeDigest(fields.slice(1));
+    return digest === undefined ? undefined : { kind: 'digest', digest };
+  }
+  if (code === MessageCode.rosterChange) {
+    const change = decodeRosterChange(fields.slice(1));
+    return change === undefined ? undefined : { kind: 'roster-change', change };
+  }
   if (code !== MessageCode.heartbeat) return undefined;
   const status = decodeStatus(first, decodeTexts(second));
   return status === undefined ? undefined : { kind: 'heartbeat', status };
--- a/packages/gatewayDaemon/src/peerNetwork.ts
+++ b/packages/gatewayDaemon/src/peerNetwork.ts
@@ -20,8 +20,10 @@
 } from './constants.js';
 import type { OperatorSnapshot } from './controlState.js';
 import type { RegistrySnapshot } from './instanceRegistry.js';
+import { isHostAddress } from './fieldBounds.js';
+import type { DomainRoster } from './members/index.js';
 import { decodeOperatorSnapshot } from './operatorSnapshotCodec.js';
-import { decodeMessage, encodeMessage } from './peerMessages.js';
+import { decodeMessage, decodeRosters, encodeMessage, encodeRosters } from './peerMessages.js';
 import type { PeerMessage } from './peerMessages.js';
 import { decodeSnapshot, encodeSnapshot } from './registrationCodec.js';
 import { toOffset } from './storePosition.js';
@@ -48,7 +50,12 @@
   readonly metrics: Metrics;
   /** Bytes of spread datagrams that may be sent every SEND_INTERVAL_MS. */
   readonly sendBytesPerInterval: number;
+  /** Called with a message and the host of the member that sent it first. */
   readonly onMessage: (message: PeerMessage, fromHost: string) => void;
+  /** Called with the datagram of a message that its sender wants to be passed on. */
+  readonly onPassOn: (data: Buffer, fromHost: string) => void;
+  /** Lists the members that this entry VM publishes as a relay. */
+  readonly createRosters: () => readonly DomainRoster[];
   readonly createState: (query: PeerStateQuery) => PeerState;
   /** Answers a request of a caller that another member forwards. */
   readonly onForward: (message: IncomingMessage, response: ServerResponse) => Promise<void>;
@@ -59,6 +66,15 @@
 
 const STATE_PATH = '/state/3';
 
+const ROSTERS_PATH = '/members/1';
+
+/**
+ * First bytes of datagrams that are to be passed on, and that were passed on with the host of their
+ * origin. No message begins with them: JSON begins with a bracket, and the type of a compressed
+ * block, in the bits 1 and 2, is never 3.
+ */
+const RelayMark = { passOn: 0x07, passedOn: 0x0f } as const;
+
 /** Path of builds that know offsets of the store, but not its era. */
 const OFFSET_STATE_PATH = '/state/2';
 
@@ -182,15 +198,56 @@
     }
   }
 
+  /** Sends a datagram to relays that pass it on to the members of their failure domains. */
+  sendToPassOn(hosts: readonly string[], data: Buffer): void {
+    if (this.isClosed || hosts.length === 0) return;
+    const marked = Buffer.concat([Buffer.from([RelayMark.passOn]), data]);
+    for (const host of hosts) this.socket.send(marked, this.options.port, host);
+  }
+
+  /** Like `sendToPassOn`, spread over time. Resolves when all are sent. */
+  spreadToPassOn(hosts: readonly string[], datagrams: readonly Buffer[]): Promise<void> {
+    const mark = Buffer.from([RelayMark.passOn]);
+    return this.sendSpread(
+      hosts,
+      datagrams.map((data) => Buffer.concat([mark, data])),
+    );
+  }
+
+  /** Passes a datagram on with the host that sent it first, spread over time. */
+  spreadForOrigin(hosts: readonly string[], data: Buffer, originHost: string): Promise<void> {
+    const origin = Buffer.from(originHost);
+    const head = Buffer.from([RelayMark.passedOn, origin.length]);
+    return this.sendSpread(hosts, [Buffer.concat([head, origin, data])]);
+  }
+
   /** Fetches what a peer knows beyond the query's versions; rejects with a StepError. */
   async fetchState(
     host: string,
     { operatorRevision, configurationVersion, instancePosition }: PeerStateQuery,
   ): Promise<PeerState> {
-    const { port } = this.options;
     const since = instancePosition === undefined ? '' : `&since=${instancePosition}`;
     const versions = `revision=${operatorRevision}&version=${configurationVersion}`;
     const path = `${STATE_PATH}?${versions}${since}`;
+    return this.fetch(host, path, 'fetch peer state', decodeState);
+  }
+
+  /** Fetches the members that a relay lists; rejects with a StepError. */
+  async fetchRosters(host: string): Promise<DomainRoster[]> {
+    return this.fetch(host, ROSTERS_PATH, 'fetch members', (text) => {
+      const rosters = decodeRosters(JSON.parse(text));
+      if (rosters === undefined) throw new Error('implausible members');
+      return rosters;
+    });
+  }
+
+  private async fetch<Result>(
+    host: string,
+    path: string,
+    step: string,
+    decode: (text: string) => Result,
+  ): Promise<Result> {
+    const { port } = this.options;
     // Limits the whole response: over a congested link a few bytes may arrive all the time.
     const signal = AbortSignal.timeout(PEER_FETCH_TIMEOUT_MS);
     try {
@@ -199,10 +256,10 @@
       const body = await readBody(response);
       if (response.statusCode !== HTTP_OK) throw new Error(`status ${response.statusCode}`);
       const data = await decompress(body, { maxOutputLength: MAX_PEER_STATE_BYTES });
-      return decodeState(data.toString('utf8'));
+      return decode(data.toString('utf8'));
     } catch (error) {
       const reason = signal.aborted ? 'no whole response in time' : describeError(error);
-      throw StepError.create('fetch peer state', `${host}:${port}`, reason, error);
+      throw StepError.create(step, `${host}:${port}`, reason, error);
     }
   }
 
@@ -215,16 +272,35 @@
     this.server.closeAllConnections();
   }
 
-  private handleDatagram(data: Buffer, remote: RemoteInfo): void {
-    const message = decodeMessage(data);
-    if (message !== undefined) {
-      this.options.onMessage(message, remote.address);
+  private handleDatagram(data: Buffer, { address }: RemoteInfo): void {
+    const [mark, originBytes = 0] = data;
+    if (mark === RelayMark.passOn) {
+      const content = data.subarray(1);
+      if (this.handleContent(content, address)) this.options.onPassOn(content, address);
+      return;
+    }
+    if (mark !== RelayMark.passedOn) {
+      this.handleContent(data, address);
       return;
     }
+    const end = 2 + originBytes;
+    const originHost = data.subarray(2, end).toString('latin1');
+    if (isHostAddress(originHost)) this.handleContent(data.subarray(end), originHost);
+  }
+
+  /** Handles a message; returns whether it is one. */
+  private handleContent(content: Buffer, fromHost: string): boolean {
+    const message = decodeMessage(content);
+    if (message !== undefined) {
+      this.options.onMessage(message, fromHost);
+      return true;
+    }
+    this.options.metrics.counter('bronzelift_malformed_datagrams_total').increment();
     this.options.log.warn(LogComponent.member, 'malformed datagram ignored', {
-      from: remote.address,
-      bytes: data.length,
+      from: fromHost,
+      bytes: content.length,
     });
+    return false;
   }
 
   private async answer(message: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -241,6 +317,12 @@
         await this.sendState(state, since ?? 'start', message, response);
         return;
       }
+      case ROSTERS_PATH: {
+        const data = await compress(JSON.stringify(encodeRosters(this.options.createRosters())));
+        response.setHeader('connection', 'close');
+        response.end(data);
+        return;
+      }
       case FORWARD_PATH:
         await this.options.onForward(message, response);
         return;
--- a/packages/gatewayDaemon/src/requestForwarder.ts
+++ b/packages/gatewayDaemon/src/requestForwarder.ts
@@ -152,6 +152,7 @@
       service: service.name,
       elapsedMs: nowMs - request.arrivedAtMs + RESPONSE_MARGIN_MS,
       callerWaitMs: request.callerWaitMs,
+      configurationVersion: this.options.configurationVersion(),
     });
     return new Promise((resolve) => {
       let isConnected = false;
--- a/packages/gatewayDaemon/src/stateGauges.ts
+++ b/packages/gatewayDaemon/src/stateGauges.ts
@@ -77,6 +77,8 @@
     metrics.gauge('bronzelift_instance_list_offset').set(toOffset(position));
     metrics.gauge('bronzelift_store_era').set(getEra(position));
     metrics.gauge('bronzelift_members').set(members.live().length + 1);
+    metrics.gauge('bronzelift_relay').set(Number(control.isRelay));
+    metrics.gauge('bronzelift_searching_relay').set(Number(control.isSearching));
     metrics.gauge('bronzelift_store_reader').set(Number(control.isReader));
     metrics.gauge('bronzelift_store_failing').set(Number(members.isOwnStoreFailing));
   }
--- a/packages/gatewayDaemon/tests/oddMessages.test.ts
+++ b/packages/gatewayDaemon/tests/oddMessages.test.ts
@@ -8,6 +8,7 @@
 import { ControlState } from '../src/controlState.js';
 import { decodeForwardReply, decodeForwardedRequest } from '../src/forwardCodec.js';
 import { MemberTable } from '../src/memberTable.js';
+import { RelayExchange } from '../src/members/index.js';
 import { decodeMessage, encodeMessage } from '../src/peerMessages.js';
 import type { PeerMessage } from '../src/peerMessages.js';
 import { decodeState } from '../src/peerNetwork.js';
@@ -104,6 +105,26 @@
   },
   { kind: 'quarantines', quarantines: [{ fingerprint: 'f', untilWallMs: BASE_MS }] },
   { kind: 'quarantine-query' },
+  {
+    kind: 'digest',
+    digest: {
+      status: { ...status, sequence: 2, purpose: 'greeting' },
+      domains: [{ failureDomainId: 'a', digest: 3 }],
+      readerAgeMs: 4,
+      readAgeMs: 5,
+    },
+  },
+  {
+    kind: 'roster-change',
+    change: {
+      relayId: 'edge-2',
+      failureDomainId: 'a',
+      formerDigest: 0,
+      digest: 3,
+      changed: [{ status: { ...status, sequence: 2, purpose: 'greeting' }, host: '10.0.0.2' }],
+      removed: ['edge-3'],
+    },
+  },
 ];
 
 const PEER_STATE = {
@@ -165,6 +186,23 @@
   return state;
 };
 
+const createExchange = (clock: ManualClock, members: MemberTable): RelayExchange =>
+  RelayExchange.create({
+    clock,
+    random: SeededRandom.create(1),
+    members,
+    ownId: 'edge-1',
+    ownDomainId: 'a',
+    ownHost: '10.0.0.1',
+    seedHosts: ['10.0.0.2'],
+    ownStatus: () => ({ ...status, vmId: 'edge-1' }),
+    storeReadAgeMs: () => 5,
+    send: (_hosts, message) => encodeMessage(message),
+    requestRosters: () => {},
+    schedule: (callback) => callback(),
+    onNewcomer: () => {},
+  });
+
 const expectBounded = (numbers: readonly number[]): void => {
   for (const number of numbers) expect(Number.isSafeInteger(Math.ceil(number))).to.equal(true);
 };
@@ -209,8 +247,12 @@
           own: () => ({ ...status, vmId: 'edge-1' }),
         });
         if (message?.kind === 'changes') state.mergeInstanceChanges(message.entries);
+        const exchange = createExchange(clock, members);
+        if (message?.kind === 'digest') exchange.handleDigest(message.digest, '10.0.0.2');
+        if (message?.kind === 'roster-change') exchange.handleRosterChange(message.change);
+        exchange.tick();
         if (message?.kind === 'heartbeat') {
-          members.recordHeartbeat(message.status, '10.0.0.2');
+          exchange.handleHeartbeat(message.status, '10.0.0.2');
           members.electReaders();
           members.selectAddresses({ failureDomainId: 'a', region: 'north' });
           state.advanceInstancePosition(
--- a/packages/gatewayDaemon/tests/peerNetwork.test.ts
+++ b/packages/gatewayDaemon/tests/peerNetwork.test.ts
@@ -33,6 +33,8 @@
     metrics: Metrics.create(),
     sendBytesPerInterval: BYTES_PER_INTERVAL,
     onMessage: () => {},
+    onPassOn: () => {},
+    createRosters: () => [],
     onForward: () => Promise.resolve(),
     createState,
   });
