Elect relays at most five times a second, and none in the first second

Cause: each new member and each change of a list ended the result of the election, so that each message of the start sorted all members. A process that had just started knew nobody else in its failure domain, elected itself, and made the relays of the other domains fetch its list. Each list was collected by a search through the lists of all relays. Change: an election is used for 200 ms; a process elects itself from 1 s after its start on, unless members use it before; whoever hears a search answers it; changes are gathered for 60 ms; lists are grouped once.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -64,6 +64,9 @@
 /** A relay that was not heard for this time is replaced by the next one. */
 export const RELAY_LOST_MS = 1_500;
 
+/** Time after its start from which on a process elects itself a relay. */
+export const RELAY_START_DELAY_MS = 1_000;
+
 /** Time for which a member stays a relay after another one used it as such. */
 export const RELAY_ASKED_MS = 2_200;
 
@@ -77,7 +80,7 @@
 export const RELAY_RESULTS_LIFETIME_MS = 200;
 
 /** Time over which a relay gathers changes of its lists, to send them together. */
-export const ROSTER_CHANGE_DELAY_MS = 20;
+export const ROSTER_CHANGE_DELAY_MS = 60;
 
 /** Members in one change of a list, so that it fits into a datagram; larger changes are fetched. */
 export const MAX_ROSTER_CHANGES = 6;
--- a/packages/gatewayDaemon/src/members/relayExchange.ts
+++ b/packages/gatewayDaemon/src/members/relayExchange.ts
@@ -13,6 +13,7 @@
   RELAY_LOST_MS,
   RELAY_RESULTS_LIFETIME_MS,
   RELAY_SEARCH_INTERVAL_MS,
+  RELAY_START_DELAY_MS,
   ROSTER_CHANGE_DELAY_MS,
   SEARCHED_MEMBERS,
 } from '../constants.js';
@@ -105,7 +106,11 @@
 
   private electedAtMs = -Infinity;
 
-  private constructor(private readonly options: RelayExchangeOptions) {}
+  private readonly startedAtMs: number;
+
+  private constructor(private readonly options: RelayExchangeOptions) {
+    this.startedAtMs = options.clock.monotonicMs();
+  }
 
   static create(options: RelayExchangeOptions): RelayExchange {
     return new RelayExchange(options);
@@ -132,8 +137,11 @@
 
   /** Whether this entry VM is a relay: elected, or used as one by a member of its domain. */
   get isRelay(): boolean {
-    const isAsked = this.now() - this.askedAtMs < RELAY_ASKED_MS;
-    return isAsked || this.listRelays(this.ownDomainId).some((member) => this.isOwn(member));
+    const nowMs = this.now();
+    if (nowMs - this.askedAtMs < RELAY_ASKED_MS) return true;
+    // A process that has just started knows nobody else that could be elected.
+    if (nowMs - this.startedAtMs < RELAY_START_DELAY_MS) return false;
+    return this.listRelays(this.ownDomainId).some((member) => this.isOwn(member));
   }
 
   /** Sends what is due in each heartbeat interval; returns the time until the next one. */
@@ -166,12 +174,10 @@
   handleHeartbeat(status: MemberStatus, host: string): boolean {
     const former = this.options.members.find(status.vmId)?.status;
     const isNew = this.options.members.recordHeartbeat(status, host);
-    if (isNew) this.electedAtMs = -Infinity;
     if (status.sequence === undefined) return isNew;
     const isOwnDomain = status.failureDomainId === this.ownDomainId;
     if (isOwnDomain && status.purpose === 'report') this.askedAtMs = this.now();
-    const isSearch = status.purpose === 'search' && !this.isSearching;
-    if (isNew || isSearch) this.introduce(status, host, isNew);
+    if (isNew || status.purpose === 'search') this.introduce(status, host, isNew);
     const isNews = isNew || former?.sequence !== status.sequence;
     if (isOwnDomain && isNews && this.isRelay) this.scheduleFlush();
     return isNew;
@@ -378,10 +384,11 @@
     const live = new Map<FailureDomainId, ListedMember[]>([
       [this.ownDomainId, [own, ...this.listHeardInOwnDomain()]],
     ]);
-    for (const failureDomainId of this.listForeignDomains()) {
-      const views = this.listForeignViews(failureDomainId);
-      // A relay that has just been elected does not know the other failure domains yet.
-      if (views.length === 0 && !this.published.has(failureDomainId)) continue;
+    // A relay that has just been elected does not know the other failure domains yet.
+    for (const failureDomainId of this.published.keys()) {
+      if (!live.has(failureDomainId)) live.set(failureDomainId, []);
+    }
+    for (const [failureDomainId, views] of this.groupForeignViews()) {
       const newest = new Map<VmId, ListedMember>();
       for (const member of views.flatMap((view) => view.list())) {
         const known = newest.get(member.status.vmId);
@@ -408,19 +415,18 @@
       .map(({ status, host }) => ({ status, host }));
   }
 
-  private listForeignDomains(): Set<FailureDomainId> {
-    const domains = [...this.views.values()].flatMap((byDomain) => [...byDomain.keys()]);
-    return new Set(domains.filter((failureDomainId) => failureDomainId !== this.ownDomainId));
-  }
-
-  /** Fresh lists of a failure domain from its own relays. */
-  private listForeignViews(failureDomainId: FailureDomainId): Roster[] {
+  /** Fresh lists of other failure domains from their own relays. */
+  private groupForeignViews(): Map<FailureDomainId, Roster[]> {
     const { members } = this.options;
-    return [...this.views].flatMap(([relayId, byDomain]) => {
-      const isOfDomain = members.find(relayId)?.status.failureDomainId === failureDomainId;
-      const view = isOfDomain ? byDomain.get(failureDomainId) : undefined;
-      return view !== undefined && this.isFresh(view) ? [view] : [];
-    });
+    const views = new Map<FailureDomainId, Roster[]>();
+    for (const [relayId, byDomain] of this.views) {
+      const failureDomainId = members.find(relayId)?.status.failureDomainId ?? this.ownDomainId;
+      const view = byDomain.get(failureDomainId);
+      if (failureDomainId === this.ownDomainId || view === undefined || !this.isFresh(view))
+        continue;
+      views.set(failureDomainId, [...(views.get(failureDomainId) ?? []), view]);
+    }
+    return views;
   }
 
   private isFresh({ refreshedAtMs }: Roster): boolean {
@@ -447,7 +453,6 @@
     for (const member of listed) {
       if (!this.isOwn(member)) members.recordListed(member, this.listedUntilMs);
     }
-    this.electedAtMs = -Infinity;
   }
 
   /** Relays remove lost members themselves, so that only a change of relays has to be bridged. */
