Let relays tell their failure domain at once of state that they fetched

Callers saw: nothing; read from the code. A change that both relays of a domain had missed reached its members only after the relays' next digest, up to 1 s later, besides their own fetches; with 1.1 s between two reads that can exceed the 2 s of a drain. Cause: state that is fetched is not passed on, and digests are sent once a second. Change: a relay sends its digests when a fetch has succeeded.

--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -154,6 +154,10 @@
       state,
       members,
       fetchState: (host, query) => this.network.fetchState(host, query),
+      onCaughtUp: () => {
+        // What a relay has missed did not reach its failure domain over it.
+        if (this.isRelay) this.exchange.announce();
+      },
       signal,
     });
     this.search = MemberSearch.create({
--- a/packages/gatewayDaemon/src/stateCatchUp.ts
+++ b/packages/gatewayDaemon/src/stateCatchUp.ts
@@ -23,6 +23,8 @@
   readonly ownDomainId: FailureDomainId;
   readonly state: ControlState;
   readonly members: MemberTable;
+  /** Called after state was fetched, which others may have missed as well. */
+  readonly onCaughtUp: () => void;
   readonly fetchState: (host: string, query: PeerStateQuery) => Promise<PeerState>;
   /** Aborted when the process stops. */
   readonly signal: AbortSignal;
@@ -139,6 +141,7 @@
         instanceOffset: formatPosition(state.nextInstancePosition),
         tookMs: finish('fetched'),
       });
+      this.options.onCaughtUp();
     } catch (error) {
       log.warn(LogComponent.log, 'fetch of peer state failed', {
         peer: status.vmId,
