Keep lists only of relays whose digests arrive

Callers saw: nothing; found while reading the change. Cause: a change of a list from an unknown relay, which any host on the network can send, created lists that were never removed. Evidence: by the code; prune() goes through the relays with digests only. Change: such changes are ignored until a digest of the relay arrives. Fields of RelayExchange have doc lines where a newcomer would wonder. Result: relayExchange and oddMessages pass.

--- a/packages/gatewayDaemon/src/members/relayExchange.ts
+++ b/packages/gatewayDaemon/src/members/relayExchange.ts
@@ -53,7 +53,7 @@
   readonly direct: readonly string[];
 }
 
-/** What is passed on of a status; its positions are compared with those of relays only. */
+/** Describes the part of a status whose changes relays pass on; positions change all the time. */
 const describeListed = (status: MemberStatus): string =>
   JSON.stringify([
     status.phase,
@@ -87,8 +87,10 @@
   /** Time since which heartbeats are sent to each relay of the own failure domain. */
   private askedSinceMs = new Map<VmId, number>();
 
+  /** Monotonic time at which a member last used this entry VM as its relay. */
   private askedAtMs = -Infinity;
 
+  /** Number of changes of the own status that relays pass on. */
   private sequence = 0;
 
   private ownDescription = '';
@@ -97,11 +99,13 @@
 
   private isFlushScheduled = false;
 
+  /** Time until the next search of a relay. */
   private searchMs = 0;
 
   /** Monotonic time since which this entry VM is a relay; Infinity if it is none. */
   private relaySinceMs = Infinity;
 
+  /** Relays of each failure domain as of `electedAtMs`, including this entry VM. */
   private elected: ReadonlyMap<FailureDomainId, readonly Member[]> = new Map();
 
   private electedAtMs = -Infinity;
@@ -205,6 +209,8 @@
   /** Applies a change to the list of a relay, unless an earlier change was missed. */
   handleRosterChange(change: RosterChange): void {
     const { relayId, failureDomainId, formerDigest, digest, changed, removed } = change;
+    // Lists are kept only of relays whose digests arrive, and no longer than these do.
+    if (!this.digestAtMs.has(relayId)) return;
     const view = this.findOrCreateView(relayId, failureDomainId);
     if (view.digest !== formerDigest || view.digest === digest) return;
     for (const member of changed) view.set(member);
@@ -460,7 +466,7 @@
     return this.now() + RELAY_CHANGE_GRACE_MS;
   }
 
-  /** Ends the liveness of members that are neither heard nor listed by any relay in touch. */
+  /** Ends the liveness of members that are neither heard nor listed by any relay that is heard. */
   private markUnlistedLost(): void {
     const { members } = this.options;
     const listed = new Map<FailureDomainId, Set<VmId>>();
