Divide limits anew when a listed member has moved

Callers saw: nothing; found while reading the change. A cold or limited instance could get the shares of one member more or less than it has. Cause: a list of a relay replaced the failure domain of a known member without the results of the division being dropped. Change: recordListed drops them, as recordHeartbeat does. Result: memberTable passes.

--- a/packages/gatewayDaemon/src/memberTable.ts
+++ b/packages/gatewayDaemon/src/memberTable.ts
@@ -149,6 +149,8 @@
     const isHeard = this.now() - former.directAtMs < MEMBER_LOST_MS;
     const isSameProcess = former.status.incarnation === status.incarnation;
     const isNews = isSameProcess ? isOlderStatus(former.status, status) : !isHeard;
+    const hasMoved = former.status.failureDomainId !== status.failureDomainId;
+    if (isNews && hasMoved) this.instanceSharers.clear();
     if (isNews) Object.assign(former, { status, host });
     this.markHeard({ status, host }, atMs);
   }
--- a/packages/gatewayDaemon/tests/memberTable.test.ts
+++ b/packages/gatewayDaemon/tests/memberTable.test.ts
@@ -152,6 +152,19 @@
     expectSameAsNewTable([moved]);
   });
 
+  // Guards against a limit that is divided by a former failure domain of a member that a relay lists.
+  it('distributes a cold instance anew when a listed member has moved', () => {
+    const { tables } = createTables([createStatus(0)]);
+    const [table] = tables;
+    const count = (): number => table!.countInstanceSharers('i-1', 'a', 9);
+    const moving = createStatus(3, { sequence: 1 });
+    table!.recordListed({ status: moving, host: '10.0.0.3' }, 0);
+    expect(count()).to.equal(2);
+    const moved = { ...moving, failureDomainId: 'b', incarnation: 'second' };
+    table!.recordListed({ status: moved, host: '10.0.0.3' }, 0);
+    expect(count()).to.equal(1);
+  });
+
   // Guards against callers that are sent to a stopping member or needlessly to another failure
   // domain.
   it("lists ready members of the caller's failure domain, and others only if that domain has none", () => {
