Shorten two comments on relays

Callers saw: nothing. The comments of RelayExchange and RelayMark told at length what docs/platform.md, "Who hears whom", says. Change: wording of these two comments only.

--- a/packages/gatewayDaemon/src/members/relayExchange.ts
+++ b/packages/gatewayDaemon/src/members/relayExchange.ts
@@ -67,12 +67,8 @@
   status.sequence !== undefined;
 
 /**
- * Decides who hears whom. Members send heartbeats to the two relays of their failure domain. Relays
- * list the members that they hear, exchange digests of these lists with the relays of other failure
- * domains, and send the members of their own one digests of all lists. A digest is a few bytes
- * long; only changes of a list are sent, and a member that missed one fetches the lists. What a
- * relay hears from another failure domain it passes on within its own one only, so that a cut
- * between two domains looks the same as without relays.
+ * Decides who hears whom: members report to the relays of their failure domain, and relays exchange
+ * digests of the lists of their members. Nothing is relayed between two other failure domains.
  */
 export class RelayExchange {
   /** Lists of each relay by failure domain. */
--- a/packages/gatewayDaemon/src/peerNetwork.ts
+++ b/packages/gatewayDaemon/src/peerNetwork.ts
@@ -69,9 +69,8 @@
 const ROSTERS_PATH = '/members/1';
 
 /**
- * First bytes of datagrams that are to be passed on, and that were passed on with the host of their
- * origin. No message begins with them: JSON begins with a bracket, and the type of a compressed
- * block, in the bits 1 and 2, is never 3.
+ * First bytes of datagrams to be passed on, and of those that were, with the host of their origin.
+ * Neither JSON nor a compressed block, whose type is never 3, begins with them.
  */
 const RelayMark = { passOn: 0x07, passedOn: 0x0f } as const;
 
