--- a/review/standins/store.ts
+++ b/review/standins/store.ts
@@ -43,6 +43,8 @@
   /** Connections on which nothing passes any more. */
   private readonly silentSockets = new WeakSet<Socket>();
 
+  private readonly cutCallers = new Set<string>();
+
   private isClosed = false;
 
   private constructor() {
@@ -97,6 +99,12 @@
     return silenced.length;
   }
 
+  /** Cuts a caller off, so that nothing of it is answered on any connection, or heals the cut. */
+  setCut(caller: string, isCut: boolean): void {
+    if (isCut) this.cutCallers.add(caller);
+    else this.cutCallers.delete(caller);
+  }
+
   /** Closes the port and all connections. */
   close(): void {
     this.isClosed = true;
@@ -134,6 +142,7 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (this.cutCallers.has(caller)) this.silentSockets.add(message.socket);
     if (this.silentSockets.has(message.socket)) return;
     const url = new URL(message.url ?? '/', 'http://store');
     const name = url.searchParams.get('topic') ?? '';
@@ -143,7 +152,7 @@
         this.answerNewest(name, response);
         return;
       case '/log-read':
-        await this.answerRead(name, url.searchParams, response, message.socket);
+        await this.answerRead(caller, name, url.searchParams, response, message.socket);
         return;
       case '/log-append':
         await this.answerAppend(name, message, response);
@@ -166,6 +175,7 @@
   }
 
   private async answerRead(
+    caller: string,
     name: string,
     query: URLSearchParams,
     response: ServerResponse,
@@ -180,7 +190,7 @@
       await this.waitForRecord(records, from, waitMs);
       this.longPolls.delete(poll);
     }
-    if (this.silentSockets.has(socket)) return;
+    if (this.silentSockets.has(socket) || this.cutCallers.has(caller)) return;
     const header = Buffer.alloc(HEADER_BYTES);
     header.writeBigUInt64BE(BigInt(records.length), 0);
     response.end(Buffer.concat([header, ...records.slice(from)]));
--- a/review/standins/world.ts
+++ b/review/standins/world.ts
@@ -99,6 +99,23 @@
     );
   }
 
+  /** Instances of a service. */
+  listInstances(service: string): readonly Instance[] {
+    return this.instances.filter(
+      (_instance, index) => (this.options.instances[index]!.service ?? SERVICE) === service,
+    );
+  }
+
+  /** Time since a gateway read the registrations. */
+  readAgeMs(gateway: number): number {
+    return performance.now() - this.store.lastReadAtMs(`gateway ${gateway}`, INSTANCES);
+  }
+
+  /** Partitions a gateway from the store, or heals the cut. */
+  setStoreCut(gateway: number, isCut: boolean): void {
+    this.store.setCut(`gateway ${gateway}`, isCut);
+  }
+
   /** Publishes a new version of the configuration; returns when the store has accepted it. */
   publishRoutes(routes: readonly RouteFields[]): number {
     this.publish(routes);
