--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 for source in review/*/case.ts; do
   [ -e "$source" ] || continue
   number="$(basename "$(dirname "$source")")"
-  npx --no-install esbuild "$source" --bundle --platform=node --target=node20 --format=cjs \
+  node_modules/.bin/esbuild "$source" --bundle --platform=node --target=node20 --format=cjs \
     --log-level=warning --outfile="target/review/case-$number.cjs"
 done
--- a/review/standins/gateways.ts
+++ b/review/standins/gateways.ts
@@ -110,7 +110,10 @@
     const firstPort = await findFirstPort(hosts);
     const folder = mkdtempSync(join(tmpdir(), 'review-'));
     const gateways = new Gateways(hosts, firstPort, options, folder);
-    process.once('exit', () => gateways.killAll());
+    process.once('exit', () => {
+      gateways.killAll();
+      gateways.removeFiles();
+    });
     for (const index of hosts.keys()) gateways.startOne(index);
     return gateways;
   }
@@ -172,6 +175,10 @@
   async stop(): Promise<void> {
     this.killAll();
     for (const index of this.processes.keys()) await this.waitForEnd(index);
+    this.removeFiles();
+  }
+
+  private removeFiles(): void {
     rmSync(this.folder, { recursive: true, force: true });
   }
 
