Refuse requests that a stopping VM cannot finish

Cause: a stopping process accepted requests for 3.5 s and ended after 5.6 s, whatever the deadlines of the requests were.

Change: while a stop is in progress, a request whose deadline lies later than 0.2 s before the end of the process is refused with a Retry-After of 0, also when the stop begins during its search for an instance.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -292,6 +292,12 @@
 /** Subtracted from the stop grace period, to leave time for the process to exit. */
 export const STOP_RESERVE_MS = 400;
 
+/**
+ * Time between the latest deadline of a request that a stopping entry VM handles and the end of its
+ * stop, to write the response.
+ */
+export const STOP_RESPONSE_MARGIN_MS = 200;
+
 /** Interval at which a member that is not a reader checks whether it has to read the store. */
 export const READER_CHECK_INTERVAL_MS = 150;
 
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -14,6 +14,7 @@
   STOP_CHECK_INTERVAL_MS,
   STOP_ACCEPT_MS,
   STOP_RESERVE_MS,
+  STOP_RESPONSE_MARGIN_MS,
   SWEEP_INTERVAL_MS,
 } from './constants.js';
 import { ControlPlane } from './controlPlane.js';
@@ -115,6 +116,9 @@
 
   private isStopping = false;
 
+  /** Monotonic time until which requests can be handled. */
+  private servesUntilMs = Infinity;
+
   private constructor(private readonly options: GatewayDaemonOptions) {
     const { clock, random, settings, protocol, store } = options;
     this.log = DecisionLog.create({ clock, flushIntervalMs: LOG_FLUSH_INTERVAL_MS });
@@ -283,6 +287,7 @@
     this.log.info(LogComponent.daemon, 'stopping', { inFlight: this.inFlight });
     this.control.sendHeartbeat();
     const limitMs = settings.bounds.stopGraceMs - STOP_RESERVE_MS;
+    this.servesUntilMs = startedAtMs + limitMs - STOP_RESPONSE_MARGIN_MS;
     await this.wait(Math.min(STOP_ACCEPT_MS, limitMs));
     this.callerServer.server.close();
     this.callerServer.server.closeIdleConnections();
@@ -367,6 +372,7 @@
       prober,
       crashes: this.crashes,
       forwarder: this.forwarder,
+      servesUntilMs: () => this.servesUntilMs,
       findService: (name) => this.services.get(name),
     });
   }
--- a/packages/gatewayDaemon/src/requestHandler.ts
+++ b/packages/gatewayDaemon/src/requestHandler.ts
@@ -43,6 +43,8 @@
   readonly prober: Prober;
   readonly crashes: CrashGuard;
   readonly forwarder: RequestForwarder;
+  /** Monotonic time until which requests can be handled; Infinity unless a stop is in progress. */
+  readonly servesUntilMs: () => number;
   readonly findService: (name: ServiceName) => ServiceRuntime | undefined;
 }
 
@@ -104,6 +106,7 @@
       isCallerRetry: earlierWaitMs > 0,
     });
     if (this.isQuarantined(context)) return this.answerQuarantined(context);
+    if (this.outlivesProcess(context)) return this.refuseWhileStopping(context);
     return this.run(context);
   }
 
@@ -149,6 +152,11 @@
         found.release();
         return this.endWithoutSend(context);
       }
+      // A stop may have begun during the search.
+      if (!context.mayHaveRun && this.outlivesProcess(context)) {
+        found.release();
+        return this.refuseWhileStopping(context);
+      }
       const ended = route.isIdempotent
         ? await this.sendWithHedge(context, found)
         : await this.send(context, found, request.signal);
@@ -202,6 +210,18 @@
     };
   }
 
+  /** Whether this entry VM may end while an instance still works on the request. */
+  private outlivesProcess({ deadlineAtMs }: RequestContext): boolean {
+    return deadlineAtMs > this.options.servesUntilMs();
+  }
+
+  /** Refuses a request that another entry VM can serve at once. */
+  private refuseWhileStopping(context: RequestContext): GatewayAnswer {
+    this.requestLog.refused(context, 'stopping', 0, this.now());
+    this.count(context, 'refused-stopping');
+    return { kind: 'refused', reason: 'stopping', retryAfterMs: 0 };
+  }
+
   /** Searches for an instance; searches that have to queue run in order of priority. */
   private async search(
     context: RequestContext,
--- a/packages/gatewayDaemon/src/types.ts
+++ b/packages/gatewayDaemon/src/types.ts
@@ -151,7 +151,14 @@
 
 /** Why a request is refused. In each case no instance has run it or will run it. */
 export type RefusalReason =
-  'no-state' | 'no-instance' | 'overloaded' | 'shed' | 'expired' | 'quarantined';
+  | 'no-state'
+  | 'no-instance'
+  | 'overloaded'
+  | 'shed'
+  | 'expired'
+  | 'quarantined'
+  /** The entry VM may end before the deadline of the request. */
+  | 'stopping';
 
 /** Why a request failed although an instance may have run it. */
 export type FailureReason = 'timeout' | 'instance-failed' | 'caller-gone' | 'too-large';
