Watch operators' records at one member more than may be lost

Cause: two members knew of changes while the loss of two has to be borne, and a silent cut was noticed only when a read of the registrations, due after up to 1.1 s, had timed out after 1 s.

Change: tolerance.machines + 1 members, at most four, in different failure domains watch the operators' records, and tell all relays at once of a change. A read of the registrations without a response for 400 ms counts as failed for the election of readers, while the call goes on.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -28,6 +28,15 @@
  */
 export const READER_COUNT = 2;
 
+/** Maximum number of entry VMs that watch the operators' records; each costs a long poll. */
+export const MAX_OPERATOR_WATCHERS = 4;
+
+/**
+ * A read of the registrations without a response for this time counts as failed for the election of
+ * readers; the store responds within 360 ms when it is slow. The call itself goes on.
+ */
+export const STORE_SUSPECT_MS = 400;
+
 /**
  * A member whose store call failed within this time is elected reader only if too few other members
  * remain.
--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -178,11 +178,12 @@
       store,
       state,
       shouldRead: () => this.shouldRead(),
+      shouldWatch: () => this.shouldWatch(),
       onStoreCall: (hasSucceeded) => this.recordStoreCall(hasSucceeded),
       outages: this.outages,
       isAnyStoreFailing: () => members.isAnyStoreFailing(),
       onInstancesRead: (changes) => this.publishChanges(changes),
-      onOperatorChange: () => this.sendHeartbeat(),
+      onOperatorChange: () => this.exchange.announceToRelays(),
       onRestored: () => {
         this.quarantines.reset();
         this.search.hurry();
@@ -275,6 +276,12 @@
     return members.readerAgeMs > (isDirect ? READER_LOST_MS : READER_LOST_AT_MEMBERS_MS);
   }
 
+  private shouldWatch(): boolean {
+    const { members, settings } = this.options;
+    if (this.shouldRead()) return true;
+    return !this.isWaitingForPeers && members.isElectedWatcher(settings.bounds.toleratedVmLosses);
+  }
+
   private recordStoreCall(hasSucceeded: boolean): void {
     const { members } = this.options;
     const wasFailing = members.isOwnStoreFailing;
--- a/packages/gatewayDaemon/src/memberTable.ts
+++ b/packages/gatewayDaemon/src/memberTable.ts
@@ -12,6 +12,7 @@
 import {
   FORWARDER_MAX_AGE_MS,
   MAX_INSTANCE_SHARER_RESULTS,
+  MAX_OPERATOR_WATCHERS,
   MEMBER_REMOVAL_MS,
   MEMBER_LOST_MS,
   MIN_LISTED_SHARE,
@@ -274,8 +275,22 @@
     return this.electReaders().includes(vmId);
   }
 
+  /**
+   * Whether this entry VM is elected to watch the operators' records: the readers do, and as many
+   * others that one remains if `toleratedLosses` members are lost at the same time.
+   */
+  isElectedWatcher(toleratedLosses: number): boolean {
+    const { vmId } = this.options.own();
+    const count = Math.min(Math.max(toleratedLosses + 1, READER_COUNT), MAX_OPERATOR_WATCHERS);
+    return this.elect(count).includes(vmId);
+  }
+
   /** Elects the members that read the store. */
   electReaders(): VmId[] {
+    return this.elect(READER_COUNT);
+  }
+
+  private elect(count: number): VmId[] {
     const own = { ...this.options.own(), isStoreFailing: this.isOwnStoreFailing };
     const candidates = [own, ...this.live().map(({ status }) => status)];
     const calculatePenalty = (status: typeof own): number =>
@@ -284,15 +299,17 @@
       .map((status) => ({ status, penalty: calculatePenalty(status), hash: hashText(status.vmId) }))
       .sort((left, right) => left.penalty - right.penalty || left.hash - right.hash)
       .map(({ status }) => status);
-    const [first, ...rest] = ranked;
-    if (first === undefined) return [];
-    const inOtherDomain = rest.find(
-      (status) =>
-        status.failureDomainId !== first.failureDomainId &&
-        calculatePenalty(status) === calculatePenalty(first),
-    );
-    const others = [inOtherDomain, ...rest].filter((status) => status !== undefined);
-    return [first, ...new Set(others)].slice(0, READER_COUNT).map(({ vmId }) => vmId);
+    const elected = ranked.splice(0, 1);
+    const [first] = elected;
+    while (elected.length < count && ranked.length > 0) {
+      const inOtherDomain = ranked.findIndex(
+        (status) =>
+          calculatePenalty(status) === calculatePenalty(first!) &&
+          !elected.some(({ failureDomainId }) => failureDomainId === status.failureDomainId),
+      );
+      elected.push(...ranked.splice(Math.max(inOtherDomain, 0), 1));
+    }
+    return elected.map(({ vmId }) => vmId);
   }
 
   /** Whether a ready member reaches all of the given services. */
--- a/packages/gatewayDaemon/src/members/relayExchange.ts
+++ b/packages/gatewayDaemon/src/members/relayExchange.ts
@@ -157,6 +157,14 @@
     return isSearching ? this.searchMs : HEARTBEAT_INTERVAL_MS;
   }
 
+  /** Sends the own status at once, also to the relays of other failure domains. */
+  announceToRelays(): void {
+    this.announce();
+    if (this.options.ownStatus().isReader) return;
+    const status = this.createStatus();
+    this.options.send(this.listRelayHosts(), { kind: 'heartbeat', status });
+  }
+
   /** Sends the own status at once, after a change that others should know. */
   announce(): void {
     if (this.isRelay) {
--- a/packages/gatewayDaemon/src/storeReader.ts
+++ b/packages/gatewayDaemon/src/storeReader.ts
@@ -10,6 +10,7 @@
   READ_INTERVAL_JITTER,
   READER_CHECK_INTERVAL_MS,
   STORE_RETRY_DELAY_MS,
+  STORE_SUSPECT_MS,
 } from './constants.js';
 import type { ControlState } from './controlState.js';
 import type { RegistrationEntry } from './instanceRegistry.js';
@@ -25,8 +26,10 @@
   readonly metrics: Metrics;
   readonly store: ControlStore;
   readonly state: ControlState;
-  /** Whether this entry VM currently has to read the store. */
+  /** Whether this entry VM currently has to read the registrations. */
   readonly shouldRead: () => boolean;
+  /** Whether this entry VM currently has to watch the operators' records. */
+  readonly shouldWatch: () => boolean;
   readonly onStoreCall: (hasSucceeded: boolean) => void;
   readonly outages: OutageTracker;
   /** Whether a recent store call of any entry VM failed. */
@@ -40,6 +43,13 @@
 
 type StreamName = 'registrations' | 'operators';
 
+interface StreamTask {
+  readonly stream: StreamName;
+  readonly isNeeded: () => boolean;
+  readonly read: () => Promise<void>;
+  readonly calculatePauseMs: () => number;
+}
+
 /**
  * Reads the two streams of the store, each in its own task. Instances renew their registrations
  * about every second, so that a long poll would return all the time; registrations are read at an
@@ -66,16 +76,18 @@
 
   /** Starts to read both streams. */
   start(): void {
-    this.run(
-      'registrations',
-      () => this.readInstances(),
-      () => this.calculateReadPauseMs(),
-    );
-    this.run(
-      'operators',
-      () => this.watchOperatorRecords(),
-      () => this.operatorPauseMs,
-    );
+    this.run({
+      stream: 'registrations',
+      isNeeded: this.options.shouldRead,
+      read: () => this.readInstances(),
+      calculatePauseMs: () => this.calculateReadPauseMs(),
+    });
+    this.run({
+      stream: 'operators',
+      isNeeded: this.options.shouldWatch,
+      read: () => this.watchOperatorRecords(),
+      calculatePauseMs: () => this.operatorPauseMs,
+    });
   }
 
   /** Time since the last read of the registrations; NEVER_READ_AGE_MS before the first one. */
@@ -89,16 +101,12 @@
     this.stopped.abort();
   }
 
-  /** Reads a stream repeatedly as long as this entry VM has to read the store. */
-  private async run(
-    stream: StreamName,
-    read: () => Promise<void>,
-    calculatePauseMs: () => number,
-  ): Promise<void> {
+  /** Reads a stream repeatedly as long as this entry VM has to. */
+  private async run({ stream, isNeeded, read, calculatePauseMs }: StreamTask): Promise<void> {
     const { signal } = this.stopped;
     let failures = 0;
     while (!signal.aborted) {
-      if (!this.options.shouldRead()) {
+      if (!isNeeded()) {
         failures = 0;
         this.failing.delete(stream);
         await sleep(READER_CHECK_INTERVAL_MS, signal);
@@ -123,6 +131,15 @@
   }
 
   private async readInstances(): Promise<void> {
+    const suspicion = setTimeout(() => this.options.onStoreCall(false), STORE_SUSPECT_MS);
+    try {
+      await this.readRegistrations();
+    } finally {
+      clearTimeout(suspicion);
+    }
+  }
+
+  private async readRegistrations(): Promise<void> {
     const { store, state } = this.options;
     const position = state.nextInstancePosition;
     const read =
--- a/packages/gatewayDaemon/src/types.ts
+++ b/packages/gatewayDaemon/src/types.ts
@@ -187,6 +187,8 @@
   readonly maxAddressTtlMs: number;
   /** Maximum probes per second to an instance from all entry VMs together. */
   readonly probesPerS: number;
+  /** Number of entry VMs that may be lost at the same time. */
+  readonly toleratedVmLosses: number;
 }
 
 /** Decoded settings of a gateway process. */
--- a/packages/gatewayDaemon/tests/limitSharing.test.ts
+++ b/packages/gatewayDaemon/tests/limitSharing.test.ts
@@ -60,6 +60,7 @@
       stopGraceMs: 6_000,
       maxAddressTtlMs: 5_000,
       probesPerS: 60,
+      toleratedVmLosses: 2,
     },
     countSharers: () => table.countSharers(),
     countInstanceSharers: ({ id, failureDomainId }, maxSharers) =>
--- a/packages/gatewayDaemon/tests/memberTable.test.ts
+++ b/packages/gatewayDaemon/tests/memberTable.test.ts
@@ -6,6 +6,7 @@
 
 import {
   MAX_DATAGRAM_BYTES,
+  MAX_OPERATOR_WATCHERS,
   MEMBER_LOST_MS,
   MEMBER_REMOVAL_MS,
   MIN_LISTED_SHARE,
@@ -83,6 +84,25 @@
     );
   });
 
+  // Guards against a loss of several members at the same time after which nobody watches the
+  // operators' records until others are elected.
+  it('elects watchers of which one remains if the tolerated number of members is lost', () => {
+    for (const count of [1, 3, 14, 142]) {
+      const { tables } = createTables(range(count).map((index) => createStatus(index)));
+      for (const toleratedLosses of [0, 2, 3, 500]) {
+        const watchers = range(count).filter((index) =>
+          tables[index]!.isElectedWatcher(toleratedLosses),
+        );
+        const wanted = Math.min(Math.max(toleratedLosses + 1, READER_COUNT), MAX_OPERATOR_WATCHERS);
+        expect(watchers).to.have.length(Math.min(wanted, count));
+        const ids = watchers.map((index) => `vm-${index}`);
+        expect(ids).to.include.members(tables[0]!.electReaders());
+        const domains = new Set(watchers.map((index) => index % DOMAINS.length));
+        if (count > DOMAINS.length) expect(domains.size).to.equal(Math.min(wanted, DOMAINS.length));
+      }
+    }
+  });
+
   // Guards against more requests than a cold instance accepts when all members send at the same
   // time.
   it('limits the requests of all members together to a cold instance in any second', () => {
--- a/packages/gatewayDaemon/tests/serviceRuntime.test.ts
+++ b/packages/gatewayDaemon/tests/serviceRuntime.test.ts
@@ -24,6 +24,7 @@
       stopGraceMs: 6_000,
       maxAddressTtlMs: 5_000,
       probesPerS: 60,
+      toleratedVmLosses: 2,
     },
     countSharers: () => sharers,
     countInstanceSharers: () => 1,
