Complete a planned stop when SIGTERM is repeated

What callers saw: requests that a stopping process had passed on, and others that it had read, ended with a closed connection at a second SIGTERM or a SIGINT. Orders among them may not be repeated (LOST).

Cause: the handler was installed for the first signal only; at the second one the default action ended the process at once, with up to 250 ms of its log.

The new process test on the code before: expected 'SIGTERM' to equal null.

Change: both daemons keep their handlers; only the first signal has an effect.

Result: the test passes: exit code 0, and the log has 'stopped'. Whether the users' runs repeat SIGTERM is not known; their logs of the stopped processes have no line for the lost requests, as after such an end.

--- a/apps/entryd/src/main.ts
+++ b/apps/entryd/src/main.ts
@@ -26,9 +26,10 @@
       }
       return EXIT_CODE_INVALID_SETTINGS;
     }
-    const stopRequested = new Promise<void>((resolve) => {
-      process.once('SIGTERM', resolve);
-      process.once('SIGINT', resolve);
+    const stopRequested = new Promise<NodeJS.Signals>((resolve) => {
+      // A listener for the first signal only would let a second one end the process at once.
+      process.on('SIGTERM', resolve);
+      process.on('SIGINT', resolve);
     });
     const daemon = EntryDaemon.create({
       settings: settings.val,
--- a/apps/gatewayd/src/runCommand.ts
+++ b/apps/gatewayd/src/runCommand.ts
@@ -53,9 +53,10 @@
       dialect: backendDialect,
       metricsPort,
     });
-    const stopRequested = new Promise<void>((resolve) => {
-      process.once('SIGTERM', resolve);
-      process.once('SIGINT', resolve);
+    const stopRequested = new Promise<NodeJS.Signals>((resolve) => {
+      // A listener for the first signal only would let a second one end the process at once.
+      process.on('SIGTERM', resolve);
+      process.on('SIGINT', resolve);
     });
     process.on('SIGHUP', () => daemon.reload());
     try {
--- a/apps/gatewayd/tests/process.test.ts
+++ b/apps/gatewayd/tests/process.test.ts
@@ -95,6 +95,20 @@
     expect(output.out).to.match(/\[daemon\] stopped/);
   });
 
+  // Guards against a stop that a repeated signal ends at once, with all requests in flight.
+  it('completes a stop although further signals to stop arrive', async () => {
+    const { started, output } = await start(SETTINGS, 'run');
+    await waitForStatus(FIRST_PORT + 1);
+    started.kill('SIGTERM');
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGTERM'] as const) {
+      setTimeout(() => started.kill(signal), 200);
+    }
+    const [code, signal] = (await once(started, 'exit')) as [number | null, string | null];
+    expect(signal).to.equal(null);
+    expect(code).to.equal(0);
+    expect(output.out).to.match(/\[daemon\] stopped/);
+  });
+
   // Guards against a store outage during which operators cannot see the state of the process.
   it('serves metrics without a reachable store', async () => {
     await start(SETTINGS, 'run', '--metrics-port', String(FIRST_PORT + 7));
