Read what has arrived before a stop closes connections

Cause: the end of the time for new requests is a timer, and timers run before sockets are read. The process closed its idle connections and its listening socket with everything that had arrived meanwhile. The event loop accepts one connection in each poll, so that a queue of them is not read in one.

Change: from that moment on requests are refused at once, and connections are closed only when a poll has accepted none, for 1.5 s at most. The same holds before the process ends, when connections that still are open are closed.

--- a/packages/gatewayDaemon/src/callerServer.ts
+++ b/packages/gatewayDaemon/src/callerServer.ts
@@ -8,7 +8,12 @@
 import type { DecisionLog } from '@bronzelift/observability';
 
 import { CallerConnection } from './callerConnection.js';
-import { DEFAULT_IDLE_TIMEOUT_MS, DEFAULT_MAX_BODY_BYTES, MAX_HEADER_BYTES } from './constants.js';
+import {
+  DEFAULT_IDLE_TIMEOUT_MS,
+  DEFAULT_MAX_BODY_BYTES,
+  MAX_HEADER_BYTES,
+  READ_ARRIVED_LIMIT_MS,
+} from './constants.js';
 import type { RequestHandler } from './requestHandler.js';
 import type { CallerLimits, FailureReason, GatewayAnswer, GatewayProtocol } from './types.js';
 
@@ -51,6 +56,11 @@
     message.on('close', () => resolve({ kind: 'aborted' }));
   });
 
+const waitForPoll = (): Promise<void> =>
+  new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+
 /** HTTP server that reads callers' requests and writes their responses. */
 export class CallerServer {
   readonly server: Server;
@@ -59,6 +69,10 @@
 
   private inFlightCount = 0;
 
+  private acceptedCount = 0;
+
+  private isRefusing = false;
+
   private maxBodyBytes = DEFAULT_MAX_BODY_BYTES;
 
   private constructor(private readonly options: CallerServerOptions) {
@@ -96,12 +110,27 @@
 
   /**
    * Accepts no more connections, closes those without a request, and the others after the responses
-   * that their callers wait for.
+   * that their callers wait for. Requests that arrive from now on are refused.
    */
-  stopAccepting(): void {
+  async stopAccepting(): Promise<void> {
+    this.isRefusing = true;
+    await this.readArrived();
     this.server.close();
   }
 
+  /** Resolves when requests that arrived while the process was busy are read. */
+  async readArrived(): Promise<void> {
+    const { clock } = this.options;
+    const untilMs = clock.monotonicMs() + READ_ARRIVED_LIMIT_MS;
+    let formerCount: number;
+    // Each poll accepts one connection; a connection is read in the poll after that.
+    do {
+      formerCount = this.acceptedCount;
+      await waitForPoll();
+    } while (this.acceptedCount > formerCount && clock.monotonicMs() < untilMs);
+    await waitForPoll();
+  }
+
   /** Applies the limits for callers from a configuration. */
   setLimits({ maxBodyBytes, headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
     this.maxBodyBytes = maxBodyBytes;
@@ -112,6 +141,7 @@
   private accept(socket: Socket): void {
     // Each pipelined request on a connection adds a listener to its socket.
     socket.setMaxListeners(0);
+    this.acceptedCount += 1;
     this.connections.set(socket, CallerConnection.create(socket));
     socket.once('close', () => this.connections.delete(socket));
   }
@@ -127,6 +157,7 @@
       message.resume();
       return;
     }
+    const isLate = this.isRefusing;
     const arrivedAtMs = this.options.clock.monotonicMs();
     const caller = this.trackCaller(message.socket, connection, response);
     const { requestId, waitMs } = this.options.protocol.readCallerHeaders(message.headers);
@@ -143,6 +174,14 @@
       this.write(response, 413, {}, 'the body is too large');
       return;
     }
+    if (isLate) {
+      this.options.log.info(LogComponent.admit, 'refused', {
+        request: requestId,
+        reason: 'stopping',
+      });
+      this.writeAnswer(response, { kind: 'refused', reason: 'stopping', retryAfterMs: 0 });
+      return;
+    }
     const request = {
       requestId,
       method: message.method ?? 'GET',
--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -411,6 +411,9 @@
 /** Time for which a connection that was ended is read until its caller closes it. */
 export const LINGER_MS = 1_000;
 
+/** Time limit for reading what has arrived, on a process with too little processor time. */
+export const READ_ARRIVED_LIMIT_MS = 1_500;
+
 /** Interval at which a stopping process checks its requests in flight. */
 export const STOP_CHECK_INTERVAL_MS = 50;
 
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -293,9 +293,10 @@
     const limitMs = settings.bounds.stopGraceMs - STOP_RESERVE_MS;
     this.servesUntilMs = startedAtMs + limitMs - STOP_RESPONSE_MARGIN_MS;
     await this.wait(Math.min(STOP_ACCEPT_MS, limitMs));
-    this.callerServer.stopAccepting();
+    await this.callerServer.stopAccepting();
     while (this.hasUnfinishedRequests && clock.monotonicMs() - startedAtMs < limitMs) {
       await this.wait(STOP_CHECK_INTERVAL_MS);
+      await this.callerServer.readArrived();
     }
     // Nothing that arrives from here on is read.
     this.callerServer.server.closeAllConnections();
