--- a/packages/gatewayDaemon/src/callerConnection.ts
+++ b/packages/gatewayDaemon/src/callerConnection.ts
@@ -83,7 +83,7 @@
    * unread bytes resets it, and responses in transit are lost.
    */
   private close(): void {
-    if (this.lingering) return;
+    if (this.lingering || this.socket.destroyed) return;
     this.closing = true;
     this.lingering = true;
     this.socket.end();
