--- a/packages/gatewayDaemon/src/callerConnection.ts
+++ b/packages/gatewayDaemon/src/callerConnection.ts
@@ -4,9 +4,8 @@
 import { LINGER_MS } from './constants.js';
 
 /**
- * Connection of a caller, which may carry several requests before the first one is answered.
- * Decides which response announces the end of the connection in a planned shutdown: the last one
- * that its caller waits for, so that no request that was read stays without a response.
+ * Connection of a caller, with all requests that it has read. In a planned shutdown, the last
+ * response that its caller waits for announces the end of the connection.
  */
 export class CallerConnection {
   /** Responses that are not completely written, in the order of their requests. */
