--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,6 +9,7 @@
       'reports/**',
       'target/**',
       '**/bin/*.js',
+      '.ci/*.{cjs,mjs}',
     ],
   },
   plugins.stylistic,
