Log how current the state was when a change took effect

Callers saw changes take effect late. The logs did not tell whether nobody had read the store, the process was held up, or the change was late on its way between members, which are the three hypotheses.

- a warning when no member had read the store for 2.4 s, with the reader that did then, and a gauge of the age of the newest known read;
- a warning when a timer of the process was 0.4 s late;
- both figures in the lines of a configuration that takes effect, and of instances that leave.

The messages between members are unchanged; digests of relays have carried the age of the newest read before. One line for each gap or delay bounds the volume.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -566,3 +566,12 @@
 
 /** Records that are remembered as left out, so that each is logged once. */
 export const MAX_LEFT_OUT_RECORDS = 1_024;
+
+/** A time without a read of the store by any member is logged from this length on. */
+export const MIN_LOGGED_READ_GAP_MS = 2_400;
+
+/** A delay of a timer is logged from this length on. */
+export const MIN_LOGGED_LOOP_DELAY_MS = 400;
+
+/** Time for which the largest delay of a timer is remembered. */
+export const LOOP_DELAY_MEMORY_MS = 3_000;
--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -35,6 +35,7 @@
 import type { PeerNetworkOptions } from './peerNetwork.js';
 import { QuarantineStore } from './quarantineStore.js';
 import { StateCatchUp } from './stateCatchUp.js';
+import type { StateFreshness } from './stateFreshness.js';
 import { formatPosition } from './storePosition.js';
 import { StoreReader } from './storeReader.js';
 import type { ControlStore, GatewaySettings } from './types.js';
@@ -54,6 +55,7 @@
   readonly members: MemberTable;
   readonly limits: LimitExchange;
   readonly crashes: CrashGuard;
+  readonly freshness: StateFreshness;
   readonly onForward: PeerNetworkOptions['onForward'];
   /** Called after each message with the status of another member. */
   readonly onMemberHeard: () => void;
@@ -90,9 +92,6 @@
   /** Relays whose lists are being fetched. */
   private readonly rosterFetches = new Set<VmId>();
 
-  /** Monotonic time of the latest read of the store by any member. */
-  private knownReadAtMs = -Infinity;
-
   private readonly startedAtMs: number;
 
   private isWaitingForPeers = true;
@@ -134,7 +133,7 @@
       ownHost: settings.host,
       seedHosts: settings.seedHosts,
       ownStatus: options.ownStatus,
-      storeReadAgeMs: () => clock.monotonicMs() - this.latestReadAtMs,
+      storeReadAgeMs: () => options.freshness.readAgeMs,
       send: (hosts, message) => this.network.send(hosts, message),
       requestRosters: (relayId, host) => this.fetchRosters(relayId, host),
       schedule: (callback, delayMs) => this.schedule(callback, delayMs),
@@ -181,6 +180,8 @@
       shouldWatch: () => this.shouldWatch(),
       onStoreCall: (hasSucceeded) => this.recordStoreCall(hasSucceeded),
       outages: this.outages,
+      freshness: options.freshness,
+      ownId: settings.vmId,
       isAnyStoreFailing: () => members.isAnyStoreFailing(),
       onInstancesRead: (changes) => this.publishChanges(changes),
       onOperatorChange: () => this.exchange.announceToRelays(),
@@ -294,11 +295,6 @@
     if (wasFailing !== !hasSucceeded) this.sendHeartbeat();
   }
 
-  private get latestReadAtMs(): number {
-    const ownReadAtMs = this.options.clock.monotonicMs() - this.reader.readAgeMs;
-    return Math.max(ownReadAtMs, this.knownReadAtMs);
-  }
-
   /** Sends changes to all members, and then the status with the digest that they lead to. */
   private async publishChanges(entries: readonly RegistrationEntry[]): Promise<void> {
     this.catchUp.update();
@@ -358,7 +354,12 @@
   /** Sends heartbeats and digests; more often while no relay is known. */
   private async runExchange(): Promise<void> {
     const { signal } = this.stopped;
-    while (!signal.aborted) await sleep(this.exchange.tick(), signal);
+    while (!signal.aborted) {
+      const pauseMs = this.exchange.tick();
+      const dueAtMs = this.options.clock.monotonicMs() + pauseMs;
+      await sleep(pauseMs, signal);
+      if (!signal.aborted) this.options.freshness.recordTimer(dueAtMs);
+    }
   }
 
   private async runHeartbeats(): Promise<void> {
@@ -449,10 +450,10 @@
     this.handleStatus(status, fromHost, isNew);
   }
 
-  private recordRead(readAgeMs: number, { isStoreFailing }: MemberStatus): void {
+  private recordRead(readAgeMs: number, { vmId, isStoreFailing }: MemberStatus): void {
     if (readAgeMs >= NEVER_READ_AGE_MS) return;
     const readAtMs = this.options.clock.monotonicMs() - readAgeMs;
-    this.knownReadAtMs = Math.max(this.knownReadAtMs, readAtMs);
+    this.options.freshness.recordRead(readAtMs, vmId);
     this.outages.recordRead(readAtMs, this.options.members.isAnyStoreFailing() || isStoreFailing);
   }
 
--- a/packages/gatewayDaemon/src/gatewayDaemon.ts
+++ b/packages/gatewayDaemon/src/gatewayDaemon.ts
@@ -35,6 +35,7 @@
 import { RequestForwarder } from './requestForwarder.js';
 import { RequestHandler } from './requestHandler.js';
 import { ServiceRuntime } from './serviceRuntime.js';
+import { StateFreshness } from './stateFreshness.js';
 import { StateGauges } from './stateGauges.js';
 import { formatPosition } from './storePosition.js';
 import type {
@@ -96,6 +97,8 @@
 
   private readonly crashes: CrashGuard;
 
+  private readonly freshness: StateFreshness;
+
   private readonly control: ControlPlane;
 
   private readonly gauges: StateGauges;
@@ -123,6 +126,7 @@
     const { clock, random, settings, protocol, store } = options;
     this.log = DecisionLog.create({ clock, flushIntervalMs: LOG_FLUSH_INTERVAL_MS });
     this.incarnation = createIncarnation(clock, random);
+    this.freshness = StateFreshness.create({ clock, log: this.log });
     this.leftOut = LeftOutRecords.create({ clock, log: this.log, metrics: this.metrics });
     this.state = ControlState.create(clock, {
       onConfiguration: (configuration) => this.applyConfiguration(configuration),
@@ -170,6 +174,7 @@
       members: this.members,
       limits: this.limits,
       crashes: this.crashes,
+      freshness: this.freshness,
       onForward: (message, response) => this.forwards.answer(message, response),
       onMemberHeard: () => {
         if (this.reach.unreachedServices.length > 0) this.reach.update();
@@ -210,6 +215,7 @@
       state: this.state,
       members: this.members,
       control: this.control,
+      freshness: this.freshness,
       services: this.services,
       countInFlight: () => this.inFlight,
     });
@@ -403,6 +409,7 @@
       version,
       revision: formatPosition(this.state.revision),
       routes: routes.length,
+      ...this.freshness.describe(),
     });
     this.control.sendHeartbeat();
   }
@@ -416,7 +423,11 @@
       const service = this.serviceOfInstance.get(id);
       if (service !== undefined) this.services.get(service)?.removeInstance(id);
       this.serviceOfInstance.delete(id);
-      this.log.info(LogComponent.backend, 'instance gone', { instance: id, source });
+      this.log.info(LogComponent.backend, 'instance gone', {
+        instance: id,
+        source,
+        ...this.freshness.describe(),
+      });
     }
     for (const record of changed) {
       const formerService = this.serviceOfInstance.get(record.id);
@@ -433,6 +444,7 @@
         draining: record.isDraining,
         coldForMs: Math.round(record.coldForMs),
         source,
+        ...(record.isDraining ? this.freshness.describe() : {}),
       });
     }
   }
--- a/packages/gatewayDaemon/src/stateGauges.ts
+++ b/packages/gatewayDaemon/src/stateGauges.ts
@@ -5,6 +5,7 @@
 import type { ControlState } from './controlState.js';
 import type { MemberTable } from './memberTable.js';
 import { getEra, toOffset } from './storePosition.js';
+import type { StateFreshness } from './stateFreshness.js';
 import type { ServiceRuntime } from './serviceRuntime.js';
 
 const MS_PER_S = 1_000;
@@ -17,6 +18,7 @@
   readonly state: ControlState;
   readonly members: MemberTable;
   readonly control: ControlPlane;
+  readonly freshness: StateFreshness;
   readonly services: ReadonlyMap<string, ServiceRuntime>;
   /** Counts callers' requests without a complete response. */
   readonly countInFlight: () => number;
@@ -63,7 +65,7 @@
   }
 
   private updateState(): void {
-    const { clock, metrics, state, members, control } = this.options;
+    const { clock, metrics, state, members, control, freshness } = this.options;
     const { configuration, revision } = state;
     if (configuration !== undefined) {
       metrics.gauge('bronzelift_configuration_version').set(configuration.version);
@@ -76,6 +78,7 @@
     const position = state.nextInstancePosition ?? -1;
     metrics.gauge('bronzelift_instance_list_offset').set(toOffset(position));
     metrics.gauge('bronzelift_store_era').set(getEra(position));
+    metrics.gauge('bronzelift_known_read_age_seconds').set(freshness.readAgeMs / MS_PER_S);
     metrics.gauge('bronzelift_members').set(members.live().length + 1);
     metrics.gauge('bronzelift_relay').set(Number(control.isRelay));
     metrics.gauge('bronzelift_searching_relay').set(Number(control.isSearching));
--- a/packages/gatewayDaemon/src/storeReader.ts
+++ b/packages/gatewayDaemon/src/storeReader.ts
@@ -1,5 +1,5 @@
 import { describeError, sleep } from '@bronzelift/common';
-import type { Clock, RandomSource } from '@bronzelift/common';
+import type { Clock, RandomSource, VmId } from '@bronzelift/common';
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 
@@ -15,6 +15,7 @@
 import type { ControlState } from './controlState.js';
 import type { RegistrationEntry } from './instanceRegistry.js';
 import type { OutageTracker } from './outageTracker.js';
+import type { StateFreshness } from './stateFreshness.js';
 import { getEra, getOffset } from './storePosition.js';
 import type { ControlStore, OperatorChange, StreamRead } from './types.js';
 
@@ -32,6 +33,8 @@
   readonly shouldWatch: () => boolean;
   readonly onStoreCall: (hasSucceeded: boolean) => void;
   readonly outages: OutageTracker;
+  readonly freshness: StateFreshness;
+  readonly ownId: VmId;
   /** Whether a recent store call of any entry VM failed. */
   readonly isAnyStoreFailing: () => boolean;
   /** Called after each read of the registrations, even without a change. */
@@ -109,7 +112,7 @@
       if (!isNeeded()) {
         failures = 0;
         this.failing.delete(stream);
-        await sleep(READER_CHECK_INTERVAL_MS, signal);
+        await this.pauseForCheck();
         continue;
       }
       try {
@@ -126,6 +129,12 @@
     }
   }
 
+  private async pauseForCheck(): Promise<void> {
+    const dueAtMs = this.options.clock.monotonicMs() + READER_CHECK_INTERVAL_MS;
+    await sleep(READER_CHECK_INTERVAL_MS, this.stopped.signal);
+    if (!this.stopped.signal.aborted) this.options.freshness.recordTimer(dueAtMs);
+  }
+
   private calculateReadPauseMs(): number {
     return INSTANCE_READ_INTERVAL_MS * (1 - READ_INTERVAL_JITTER * this.options.random.next());
   }
@@ -189,6 +198,7 @@
   private recordInstanceRead(): number | undefined {
     const nowMs = this.options.clock.monotonicMs();
     this.lastReadAtMs = nowMs;
+    this.options.freshness.recordRead(nowMs, this.options.ownId);
     this.options.outages.recordRead(nowMs, this.options.isAnyStoreFailing());
     return this.options.outages.renewableUntilMs(nowMs);
   }
