Bound the fetches of lists of members, so that a slow fleet recovers

Cause: each digest of a relay that differs led to a fetch of all its lists, from both relays at once, without a pause after a failure. With many members a relay cannot send its lists to all of them within 0.6 s; they give up, the work is lost, and they ask again at the next digest. Changes of more than six members are only sent as digests, so that a start of many members makes all fetch. Class: retries without a bound, which keep up the overload that makes them fail.

Change: one fetch at a time from the relays of a failure domain, with a random delay that doubles with each failure, and none if changes have led to the list meanwhile; 1.5 s for the answer; a relay compresses its lists once for all that ask. A change of up to 24 members is sent in steps of six, in messages that earlier builds understand.

--- a/packages/gatewayDaemon/src/constants.ts
+++ b/packages/gatewayDaemon/src/constants.ts
@@ -91,9 +91,12 @@
 /** Time over which a relay gathers changes of its lists, to send them together. */
 export const ROSTER_CHANGE_DELAY_MS = 60;
 
-/** Members in one change of a list, so that it fits into a datagram; larger changes are fetched. */
+/** Members in one change of a list, so that it fits into a datagram. */
 export const MAX_ROSTER_CHANGES = 6;
 
+/** Messages into which a larger change of a list is split; still larger ones are fetched. */
+export const MAX_ROSTER_CHANGE_MESSAGES = 4;
+
 /** Minimum time between two digests because of large changes. */
 export const MIN_DIGEST_INTERVAL_MS = 250;
 
@@ -106,6 +109,15 @@
 /** Maximum random delay before lists are fetched from a relay, so that not all ask at once. */
 export const ROSTER_FETCH_DELAY_MS = 150;
 
+/** The delay doubles with each failure, at most so many times. */
+export const MAX_ROSTER_FETCH_BACKOFF = 5;
+
+/**
+ * Time limit for the lists of a relay; longer than for state, since a relay that has to answer many
+ * members at once does the work for nothing if they give up.
+ */
+export const ROSTER_FETCH_TIMEOUT_MS = 1_500;
+
 /** Time for which a message that was passed on is not passed on again. */
 export const PASSED_ON_MEMORY_MS = 500;
 
--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events';
 
 import { assertNever, describeError, shuffle, sleep } from '@bronzelift/common';
-import type { Clock, RandomSource, VmId } from '@bronzelift/common';
+import type { Clock, RandomSource } from '@bronzelift/common';
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog, Metrics } from '@bronzelift/observability';
 
@@ -16,7 +16,6 @@
   QUARANTINES_PER_MESSAGE,
   READER_LOST_AT_MEMBERS_MS,
   READER_LOST_MS,
-  ROSTER_FETCH_DELAY_MS,
   SEND_INTERVAL_MS,
   START_SETTLE_MS,
 } from './constants.js';
@@ -26,7 +25,7 @@
 import type { InstanceLimit, LimitExchange } from './limitExchange.js';
 import { MemberSearch } from './memberSearch.js';
 import type { MemberStatus, MemberTable } from './memberTable.js';
-import { RelayExchange } from './members/index.js';
+import { RelayExchange, RosterFetcher } from './members/index.js';
 import type { SpreadTargets } from './members/index.js';
 import { OutageTracker } from './outageTracker.js';
 import { PassedOnMessages } from './passedOnMessages.js';
@@ -74,6 +73,8 @@
 
   private readonly exchange: RelayExchange;
 
+  private readonly rosterFetcher: RosterFetcher;
+
   private readonly passedOn: PassedOnMessages;
 
   private readonly reader: StoreReader;
@@ -90,9 +91,6 @@
 
   private readonly stopped = new AbortController();
 
-  /** Relays whose lists are being fetched. */
-  private readonly rosterFetches = new Set<VmId>();
-
   private readonly startedAtMs: number;
 
   private isWaitingForPeers = true;
@@ -136,10 +134,32 @@
       ownStatus: options.ownStatus,
       storeReadAgeMs: () => options.freshness.readAgeMs,
       send: (hosts, message) => this.network.send(hosts, message),
-      requestRosters: (relayId, host) => this.fetchRosters(relayId, host),
+      requestRosters: (vmId, host) => {
+        const failureDomainId = members.find(vmId)?.status.failureDomainId;
+        if (failureDomainId !== undefined) {
+          this.rosterFetcher.request({ vmId, host, failureDomainId });
+        }
+      },
       schedule: (callback, delayMs) => this.schedule(callback, delayMs),
       onNewcomer: (host) => this.sendKnown(host),
     });
+    this.rosterFetcher = RosterFetcher.create({
+      random,
+      isBehind: (relayId) => this.exchange.isBehind(relayId),
+      fetchRosters: (host) => this.network.fetchRosters(host),
+      onFetched: (relayId, rosters) => {
+        this.exchange.applyRosters(relayId, rosters);
+        metrics.counter('bronzelift_roster_fetches_total', { outcome: 'fetched' }).increment();
+      },
+      onFailed: (relay, error) => {
+        metrics.counter('bronzelift_roster_fetches_total', { outcome: 'failed' }).increment();
+        log.warn(LogComponent.member, 'fetch of members failed', {
+          relay,
+          error: describeError(error),
+        });
+      },
+      signal,
+    });
     this.passedOn = PassedOnMessages.create({
       clock,
       network: this.network,
@@ -394,25 +414,6 @@
     if (!this.stopped.signal.aborted) callback();
   }
 
-  private async fetchRosters(relayId: VmId, host: string): Promise<void> {
-    if (this.rosterFetches.has(relayId)) return;
-    this.rosterFetches.add(relayId);
-    await sleep(this.options.random.next() * ROSTER_FETCH_DELAY_MS, this.stopped.signal);
-    try {
-      if (this.stopped.signal.aborted) return;
-      const rosters = await this.network.fetchRosters(host);
-      this.exchange.applyRosters(relayId, rosters);
-      this.options.metrics.counter('bronzelift_roster_fetches_total').increment();
-    } catch (error) {
-      this.options.log.warn(LogComponent.member, 'fetch of members failed', {
-        relay: relayId,
-        error: describeError(error),
-      });
-    } finally {
-      this.rosterFetches.delete(relayId);
-    }
-  }
-
   private handleMessage(message: PeerMessage, fromHost: string): void {
     switch (message.kind) {
       case 'heartbeat':
--- a/packages/gatewayDaemon/src/members/relayExchange.ts
+++ b/packages/gatewayDaemon/src/members/relayExchange.ts
@@ -4,6 +4,7 @@
 import {
   HEARTBEAT_INTERVAL_MS,
   MAX_ROSTER_CHANGES,
+  MAX_ROSTER_CHANGE_MESSAGES,
   MEMBER_LOST_MS,
   MEMBER_REMOVAL_MS,
   MIN_DIGEST_INTERVAL_MS,
@@ -22,7 +23,13 @@
 import type { PeerMessage } from '../peerMessages.js';
 import { electRelays } from './relayElection.js';
 import { Roster } from './roster.js';
-import type { DomainRoster, ListedMember, RelayDigest, RosterChange } from './types.js';
+import type {
+  DomainDigest,
+  DomainRoster,
+  ListedMember,
+  RelayDigest,
+  RosterChange,
+} from './types.js';
 
 /** Dependencies of a RelayExchange; it uses no sockets and no timers. */
 export interface RelayExchangeOptions {
@@ -80,6 +87,9 @@
   /** Time of the latest digest of each relay. */
   private readonly digestAtMs = new Map<VmId, number>();
 
+  /** Digests of the lists of each relay as it stated them last. */
+  private readonly statedDigests = new Map<VmId, readonly DomainDigest[]>();
+
   /** Time since which heartbeats are sent to each relay of the own failure domain. */
   private askedSinceMs = new Map<VmId, number>();
 
@@ -199,17 +209,29 @@
     this.digestAtMs.set(status.vmId, nowMs);
     const isOwnDomain = status.failureDomainId === this.ownDomainId;
     if (isOwnDomain && readerAgeMs < NEVER_READ_AGE_MS) members.recordReader(nowMs - readerAgeMs);
-    let hasUnknown = false;
+    this.statedDigests.set(status.vmId, domains);
     for (const { failureDomainId, digest } of domains) {
       if (!this.speaksFor(status, failureDomainId)) continue;
       const view = this.findOrCreateView(status.vmId, failureDomainId);
       if (view.digest === digest) this.refresh(view);
-      else hasUnknown = true;
     }
-    if (hasUnknown) this.options.requestRosters(status.vmId, host);
+    if (this.isBehind(status.vmId)) this.options.requestRosters(status.vmId, host);
     return isNew;
   }
 
+  /** Whether the lists that a relay stated last differ from the known ones. */
+  isBehind(relayId: VmId): boolean {
+    const relay = this.options.members.find(relayId);
+    if (relay === undefined) return false;
+    const byDomain = this.views.get(relayId);
+    const stated = this.statedDigests.get(relayId) ?? [];
+    return stated.some(
+      ({ failureDomainId, digest }) =>
+        this.speaksFor(relay.status, failureDomainId) &&
+        byDomain?.get(failureDomainId)?.digest !== digest,
+    );
+  }
+
   /** Applies a change to the list of a relay, unless an earlier change was missed. */
   handleRosterChange(change: RosterChange): void {
     const { relayId, failureDomainId, formerDigest, digest, changed, removed } = change;
@@ -361,8 +383,8 @@
         continue;
       }
       this.published.set(failureDomainId, next);
-      const { changed, removed } = former.compare(next);
-      if (changed.length + removed.length > MAX_ROSTER_CHANGES) {
+      const changes = former.splitChanges(next, MAX_ROSTER_CHANGES);
+      if (changes.length > MAX_ROSTER_CHANGE_MESSAGES) {
         hasLargeChange = true;
         continue;
       }
@@ -371,17 +393,12 @@
         ...this.listOwnDomainHosts(),
         ...(isOwnDomain ? this.listOtherRelayHosts() : []),
       ];
-      this.options.send(hosts, {
-        kind: 'roster-change',
-        change: {
-          relayId: this.ownId,
-          failureDomainId,
-          formerDigest: former.digest,
-          digest: next.digest,
-          changed,
-          removed,
-        },
-      });
+      for (const change of changes) {
+        this.options.send(hosts, {
+          kind: 'roster-change',
+          change: { relayId: this.ownId, failureDomainId, ...change },
+        });
+      }
     }
     // A large change is fetched by those that see its digest.
     const isDigestDue = this.now() - this.sentDigestsAtMs >= MIN_DIGEST_INTERVAL_MS;
@@ -580,6 +597,7 @@
     for (const [relayId, atMs] of this.digestAtMs) {
       if (atMs >= limitMs) continue;
       this.digestAtMs.delete(relayId);
+      this.statedDigests.delete(relayId);
       this.views.delete(relayId);
     }
   }
--- a/packages/gatewayDaemon/src/members/roster.ts
+++ b/packages/gatewayDaemon/src/members/roster.ts
@@ -22,6 +22,12 @@
   readonly removed: readonly VmId[];
 }
 
+/** A part of a difference, with the digests of the roster before and after it. */
+export interface RosterStep extends RosterDifference {
+  readonly formerDigest: number;
+  readonly digest: number;
+}
+
 /** Members of one failure domain, with a digest that tells whether two rosters are the same. */
 export class Roster {
   private readonly members = new Map<VmId, ListedMember>();
@@ -85,4 +91,23 @@
     const removed = [...this.members.keys()].filter((vmId) => !next.has(vmId));
     return { changed, removed };
   }
+
+  /** Lists what `next` has otherwise, in steps of at most `maxMembers` members. */
+  splitChanges(next: Roster, maxMembers: number): RosterStep[] {
+    const { changed, removed } = this.compare(next);
+    const current = Roster.create(this.list());
+    const steps: RosterStep[] = [];
+    for (let index = 0; index < changed.length + removed.length; index += maxMembers) {
+      const formerDigest = current.digest;
+      const changedPart = changed.slice(index, index + maxMembers);
+      const removedFrom = Math.max(index - changed.length, 0);
+      const removedTo = Math.max(index + maxMembers - changed.length, 0);
+      const removedPart = removed.slice(removedFrom, removedTo);
+      for (const member of changedPart) current.set(member);
+      for (const vmId of removedPart) current.remove(vmId);
+      const { digest } = current;
+      steps.push({ formerDigest, digest, changed: changedPart, removed: removedPart });
+    }
+    return steps;
+  }
 }
--- a/packages/gatewayDaemon/src/peerNetwork.ts
+++ b/packages/gatewayDaemon/src/peerNetwork.ts
@@ -16,6 +16,7 @@
   NO_VERSION,
   PEER_CONNECTION_IDLE_MS,
   PEER_FETCH_TIMEOUT_MS,
+  ROSTER_FETCH_TIMEOUT_MS,
   SEND_INTERVAL_MS,
 } from './constants.js';
 import type { OperatorSnapshot } from './controlState.js';
@@ -136,6 +137,9 @@
 
   private isClosed = false;
 
+  /** The lists that were sent last, by their digests. */
+  private compressedRosters: { readonly key: string; readonly data: Promise<Buffer> } | undefined;
+
   private constructor(private readonly options: PeerNetworkOptions) {
     this.socket = createSocket('udp4');
     this.socket.on('message', (data, remote) => this.handleDatagram(data, remote));
@@ -228,12 +232,12 @@
     const since = instancePosition === undefined ? '' : `&since=${instancePosition}`;
     const versions = `revision=${operatorRevision}&version=${configurationVersion}`;
     const path = `${STATE_PATH}?${versions}${since}`;
-    return this.fetch(host, path, 'fetch peer state', decodeState);
+    return this.fetch(host, path, 'fetch peer state', PEER_FETCH_TIMEOUT_MS, decodeState);
   }
 
   /** Fetches the members that a relay lists; rejects with a StepError. */
   async fetchRosters(host: string): Promise<DomainRoster[]> {
-    return this.fetch(host, ROSTERS_PATH, 'fetch members', (text) => {
+    return this.fetch(host, ROSTERS_PATH, 'fetch members', ROSTER_FETCH_TIMEOUT_MS, (text) => {
       const rosters = decodeRosters(JSON.parse(text));
       if (rosters === undefined) throw new Error('implausible members');
       return rosters;
@@ -244,11 +248,12 @@
     host: string,
     path: string,
     step: string,
+    timeoutMs: number,
     decode: (text: string) => Result,
   ): Promise<Result> {
     const { port } = this.options;
     // Limits the whole response: over a congested link a few bytes may arrive all the time.
-    const signal = AbortSignal.timeout(PEER_FETCH_TIMEOUT_MS);
+    const signal = AbortSignal.timeout(timeoutMs);
     try {
       const request = get({ host, port, path, agent: false, signal });
       const [response] = (await once(request, 'response')) as [IncomingMessage];
@@ -317,7 +322,7 @@
         return;
       }
       case ROSTERS_PATH: {
-        const data = await compress(JSON.stringify(encodeRosters(this.options.createRosters())));
+        const data = await this.compressRosters(this.options.createRosters());
         response.setHeader('connection', 'close');
         response.end(data);
         return;
@@ -341,6 +346,20 @@
     }
   }
 
+  /** Compresses lists once for all members that ask before they change. */
+  private compressRosters(rosters: readonly DomainRoster[]): Promise<Buffer> {
+    const key = JSON.stringify(
+      rosters.map(({ failureDomainId, digest }) => [failureDomainId, digest]),
+    );
+    if (this.compressedRosters?.key !== key) {
+      this.compressedRosters = {
+        key,
+        data: compress(JSON.stringify(encodeRosters(rosters))),
+      };
+    }
+    return this.compressedRosters.data;
+  }
+
   private async sendState(
     { operator, instances }: PeerState,
     since: string,
