Name the member that reported a read by what it is

The digest of a relay carries the age of a read that another member may have made, so that the field is the member that told of it, not the reader.

--- a/packages/gatewayDaemon/src/stateFreshness.ts
+++ b/packages/gatewayDaemon/src/stateFreshness.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@bronzelift/common';
+import type { Clock, VmId } from '@bronzelift/common';
 import { LogComponent } from '@bronzelift/observability';
 import type { DecisionLog } from '@bronzelift/observability';
 
@@ -51,15 +51,15 @@
     return this.now() - this.delayAtMs < LOOP_DELAY_MEMORY_MS ? this.delayMs : 0;
   }
 
-  /** Records that a member has read the registrations at the given monotonic time. */
-  recordRead(atMs: number, reader: string): void {
+  /** Records that some member read the registrations at the given monotonic time. */
+  recordRead(atMs: number, toldBy: VmId): void {
     if (atMs <= this.readAtMs) return;
     const gapMs = atMs - this.readAtMs;
     this.readAtMs = atMs;
     if (gapMs < MIN_LOGGED_READ_GAP_MS || !Number.isFinite(gapMs)) return;
     this.options.log.warn(LogComponent.log, 'no member had read the store', {
       forMs: Math.round(gapMs),
-      reader,
+      toldBy,
       loopDelayMs: Math.round(this.loopDelayMs),
     });
   }
--- a/packages/gatewayDaemon/tests/stateFreshness.test.ts
+++ b/packages/gatewayDaemon/tests/stateFreshness.test.ts
@@ -38,7 +38,7 @@
     clock.advance(3_600);
     expect(freshness.readAgeMs).to.equal(3_600);
     freshness.recordRead(clock.monotonicMs() - 50, 'edge-3');
-    expect(await readLog()).to.match(/no member had read the store forMs=3550 reader=edge-3/);
+    expect(await readLog()).to.match(/no member had read the store forMs=3550 toldBy=edge-3/);
     expect(freshness.readAgeMs).to.equal(50);
   });
 
