--- a/packages/gatewayDaemon/src/controlPlane.ts
+++ b/packages/gatewayDaemon/src/controlPlane.ts
@@ -337,9 +337,8 @@
   }
 
   /**
-   * Hosts for changes that this entry VM has read. A relay reads while it hears no reader, and then
-   * serves its own failure domain. If all members that read for themselves published, their messages
-   * would congest the links of all.
+   * Hosts for changes that this entry VM has read. A relay that reads while it hears no reader
+   * serves its own failure domain only, so that the links of all are not congested.
    */
   private listChangeTargets(): SpreadTargets | undefined {
     if (this.isReader) return this.exchange.listSpreadTargets();
