Test that the steps of a list are messages that earlier builds know

What callers saw: nothing; the change of sends several changes of a list in a row, and no test said that each is one of the messages known before.

Change: each step of 20 new members fits into a datagram and is read back by the decoder of changes.

--- a/packages/gatewayDaemon/tests/rosterFetcher.test.ts
+++ b/packages/gatewayDaemon/tests/rosterFetcher.test.ts
@@ -2,9 +2,10 @@
 
 import { SeededRandom, sleep } from '@bronzelift/common';
 
-import { ROSTER_FETCH_DELAY_MS } from '../src/constants.js';
+import { MAX_DATAGRAM_BYTES, MAX_ROSTER_CHANGES, ROSTER_FETCH_DELAY_MS } from '../src/constants.js';
 import { Roster, RosterFetcher } from '../src/members/index.js';
 import type { FetchedRelay, ListedMember } from '../src/members/index.js';
+import { decodeMessage, encodeMessage } from '../src/peerMessages.js';
 
 const RELAYS: readonly FetchedRelay[] = ['edge-1', 'edge-2'].map((vmId, index) => ({
   vmId,
@@ -113,4 +114,15 @@
     expect(view.digest).to.equal(next.digest);
     expect(view.list()).to.have.length(next.list().length);
   });
+
+  // Guards against steps that do not fit into a datagram, or that the decoder of changes rejects.
+  it('are sent as the changes of a list that members of earlier builds know', () => {
+    const next = Roster.create(Array.from({ length: 20 }, (_item, index) => createMember(index)));
+    for (const step of Roster.create().splitChanges(next, MAX_ROSTER_CHANGES)) {
+      const change = { relayId: 'edge-1', failureDomainId: 'zone-a', ...step };
+      const data = encodeMessage({ kind: 'roster-change', change });
+      expect(data.length).to.be.at.most(MAX_DATAGRAM_BYTES);
+      expect(decodeMessage(data)).to.deep.equal({ kind: 'roster-change', change });
+    }
+  });
 });
